--- /dev/null
+++ b/balancer.go
@@ -0,0 +1,837 @@
+// Package lemonflow makes a load balancer's decisions for services that call services.
+//
+// This file holds every decision; the interface (settings, events, actions) is in types.go. A server is
+// picked by subset, pick and canTake: the subset comes from the instance's own number through a shuffle
+// seeded by its round, turns rotate inside it, and members that cannot take a request are skipped.
+package lemonflow
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// inFlightCap is the book's flow control: a member with so many of our requests is passed over.
+	inFlightCap = 100
+	// subsetBase is the smallest subset wanted. Few members keep connections few and let an instance
+	// with little traffic learn about each; the size is then raised, at most to double, to where the
+	// instances' slices cover all servers most evenly.
+	subsetBase = 8
+	// shuffleStream keeps the rounds' generator apart from the instances' own.
+	shuffleStream = 0x6c656d6f6e666c6f
+	// retryRatio is how much of the first attempts' number may be sent again: retries multiply from tier
+	// to tier, so each instance earns them. retryBurst is the most that can be saved up.
+	retryRatio, retryBurst = 0.1, 10.0
+	// holdStep is how often held requests look again for a server that can take them.
+	holdStep = 20 * time.Millisecond
+	// loadCap is the adaptive cap: a member misses its turn while its in-flight requests, smoothed over
+	// loadMemory, are so many times the subset's mean. Slow members hold requests longer and so get fewer.
+	loadCap    = 1.1
+	loadMemory = 700 * time.Millisecond
+	// The admission limit on requests in flight is halved by as many late answers as it counts, and grows by
+	// one for each so many answers in time. lateShare of the aim is late: the rest is room for a second try.
+	limitFirst, limitLeast = 64.0, 4.0
+	limitCut               = 0.5
+	lateShare              = 0.75
+	// holdShare of its aim is how long a request may be held before it is refused.
+	holdShare = 0.5
+	// A class's cost is costQuantile of its answers' times, its tail tailQuantile; both are followed by
+	// quantileStep. minCost, in seconds, keeps them above 0.
+	costQuantile, tailQuantile, quantileStep, minCost = 0.25, 0.95, 0.1, 0.001
+	// patienceSlack is by how much less patience than the longest shows a client's last tries.
+	patienceSlack = 5 * time.Millisecond
+	// vacantShare of the places may be empty before the list is sorted anew.
+	vacantShare = 0.5
+	// watchWarn failed watches in a row are told to people.
+	watchWarn = 4
+	// quotaBurst is how long a tenant's unused quota is saved up.
+	quotaBurst = 2 * time.Second
+	// A member is ejected after ejectRun failures in a row, or when failMemory-smoothed failures pass
+	// ejectShare; for ejectBase at first, doubling to ejectMost. A single trial request lets it back.
+	ejectRun   = 3
+	ejectShare = 0.5
+	failMemory = 0.15
+	ejectBase  = 2 * time.Second
+	ejectMost  = 16 * time.Second
+	// panicShare of the slice stays whatever its members' failures: if so many look bad, the cause is shared.
+	panicShare = 0.5
+)
+
+// server is what this instance knows of one server.
+type server struct {
+	id       string
+	entry    Entry
+	listed   time.Duration // when the list first named it
+	inFlight int
+	load     float64       // in-flight requests, smoothed over loadMemory
+	loadAt   time.Duration // when load was brought up to date
+
+	failRun   int           // failures in a row
+	failRate  float64       // smoothed share of failures
+	ejected   time.Duration // until when it is passed over; 0 if it is not
+	ejections int           // in a row, without a success between
+	trial     bool          // the request that tries an ejected server is out
+
+	// The budget while cold: tokens earned at the warm members' rate times the cold share.
+	coldTokens float64
+	coldAt     time.Duration
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	s        *server
+	at       time.Duration
+	over     bool
+	canceled bool
+	unrun    bool // proven never to have run
+}
+
+// request is one accepted request until its last attempt has ended.
+type request struct {
+	Request
+	class    *Class
+	end      time.Duration // by when the final answer must be given
+	attempts []attempt
+	out      int
+	answered bool
+	started  bool // its answer streams: it belongs to the client
+	held     bool
+	worth    float64
+}
+
+// Balancer makes the decisions of one instance. It is not safe for concurrent use.
+type Balancer struct {
+	set  Settings
+	host Host
+	rng  *rand.PCG
+
+	servers  map[string]*server
+	slots    []*server // the list that is shuffled: sorted by id, places kept by keepSlots
+	order    []*server // the round's shuffle, turned so that the own slice stands first
+	slice    int       // how many of order are the own slice
+	panicked bool      // the panic threshold is reached
+	active   []*server // the slice, with a spare for each lost member
+	turn     int
+
+	requests map[string]*request
+	held     []*request // by worth for the time they take, then by age
+	holding  bool
+	inFlight int             // requests with an attempt out
+	limit    float64         // how many of them are admitted
+	tail     []quantile      // by class, the time after which an attempt is late for its class
+	cost     []quantile      // by class, a low quantile of its answers' seconds, which waiting distorts least
+	patience []time.Duration // by class, the longest that a client has waited
+	quota    []bucket        // by tenant
+	retries  float64
+	served   rate // requests answered in time by servers
+
+	timers    map[uint64]func(now time.Duration)
+	lastTimer uint64
+	watchFail int
+}
+
+// New returns an instance that knows no servers yet. Equal settings, seed and events give equal actions.
+func New(settings Settings, seed uint64, host Host) (*Balancer, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	return &Balancer{
+		set: settings, host: host, rng: rand.NewPCG(seed, 0),
+		servers: map[string]*server{}, requests: map[string]*request{},
+		timers: map[uint64]func(time.Duration){}, retries: retryBurst / 2, limit: limitFirst,
+		cost: make([]quantile, len(settings.Classes)), tail: make([]quantile, len(settings.Classes)),
+		patience: make([]time.Duration, len(settings.Classes)),
+		quota:    make([]bucket, len(settings.Tenants)),
+	}, nil
+}
+
+// Submit takes a request on.
+func (b *Balancer) Submit(now time.Duration, r Request) {
+	if b.requests[r.ID] != nil {
+		return
+	}
+	if r.Class < 0 || r.Class >= len(b.set.Classes) {
+		b.host.Refuse(r.ID) // no effect to fear, and no request may be lost
+		return
+	}
+	c := &b.set.Classes[r.Class]
+	q := &request{Request: r, class: c, end: now + r.Left}
+	b.requests[r.ID] = q
+	useful := b.useful(now, q)
+	if useful <= 0 {
+		// A client's repeat that comes too late to earn anything: sending it on would be waste.
+		b.answer(q)
+		return
+	}
+	q.worth = c.Worth * b.tenantWorth(now, r.Tenant)
+	b.retries = min(b.retries+retryRatio, retryBurst)
+	b.after(q.end-now, func(time.Duration) { b.giveUp(q) })
+	b.hold(q)
+	b.retryHeld(now)
+	if q.held {
+		b.after(min(time.Duration(holdShare*float64(c.Aim)), r.Left/2), func(time.Duration) {
+			if q.held && !q.answered {
+				b.answer(q)
+			}
+		})
+		b.keepHolding()
+	}
+}
+
+// useful is how long an answer to a fresh request earns something, and shortens the request's end to it where
+// its failure makes no client repeat it. (A free request that fails is sent again and costs more than
+// the rest of its late run; at the lower tiers a failure costs the upper tier's work.)
+func (b *Balancer) useful(now time.Duration, q *request) time.Duration {
+	c := q.class
+	if b.set.Layer > 0 || c.LateWorth > 0 {
+		return q.Left
+	}
+	// A first try has all the patience of a try; who has less is at the end of its client's patience.
+	aim := c.Aim
+	b.patience[q.Class] = max(b.patience[q.Class], q.Left)
+	if q.Left < b.patience[q.Class]-patienceSlack {
+		aim -= c.GiveUp - q.Left
+	}
+	if c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll {
+		q.end = min(q.end, now+aim)
+	}
+	return min(aim, q.Left)
+}
+
+// tenantWorth is what a tenant's next request is worth: less beyond its quota, of which each instance
+// counts its own part. It orders requests only while there is no room for all.
+func (b *Balancer) tenantWorth(now time.Duration, tenant int) float64 {
+	if tenant < 0 || tenant >= len(b.quota) {
+		return 1
+	}
+	perSecond := b.set.Tenants[tenant].QuotaPerSecond / float64(b.set.Instances)
+	if b.quota[tenant].take(now, perSecond, perSecond*quotaBurst.Seconds()) {
+		return 1
+	}
+	return b.set.OverShareWorth
+}
+
+// hold puts a request in the queue that all requests pass; it is empty again at once while there is room.
+func (b *Balancer) hold(q *request) {
+	q.held = true
+	density := func(q *request) float64 { return q.worth / max(float64(b.cost[q.Class]), minCost) }
+	at := len(b.held)
+	for at > 0 && density(b.held[at-1]) < density(q) {
+		at--
+	}
+	b.held = slices.Insert(b.held, at, q)
+}
+
+// admitted says whether there is room for one more request. Only the first tier refuses for want of room:
+// a refusal further down would waste what the tiers above have done.
+func (b *Balancer) admitted() bool {
+	return b.set.Layer > 0 || float64(b.inFlight+1) <= b.limit
+}
+
+// learn moves the admission limit and the class's cost by an attempt's outcome.
+func (b *Balancer) learn(q *request, r Result) {
+	late := r.Latency > time.Duration(lateShare*float64(q.class.Aim))
+	if r.Outcome == OK {
+		b.cost[q.Class].observe(r.Latency, costQuantile)
+	}
+	if tail := &b.tail[q.Class]; r.Outcome == OK || *tail > 0 && r.Latency.Seconds() > float64(*tail) {
+		tail.observe(r.Latency, tailQuantile)
+	}
+	if late || r.Outcome == QueueFull {
+		b.limit = max(b.limit-limitCut, limitLeast)
+	} else if r.Outcome == OK && 2*float64(b.inFlight) > b.limit {
+		b.limit += 1 / b.limit
+	}
+}
+
+func (b *Balancer) send(now time.Duration, q *request, s *server) {
+	q.held = false
+	if q.out == 0 {
+		b.inFlight++
+	}
+	q.attempts = append(q.attempts, attempt{s: s, at: now})
+	q.out++
+	s.track(now)
+	s.inFlight++
+	s.trial = s.ejected > 0
+	b.spendCold(now, s)
+	b.host.Send(q.ID, s.id, q.end-now)
+	if tail := b.tail[q.Class]; tail > 0 {
+		index := len(q.attempts) - 1
+		wait := time.Duration(float64(tail) * float64(time.Second))
+		b.after(wait, func(now time.Duration) { b.stalled(now, q, index) })
+	}
+}
+
+// pick is the ordinary path: the next member of the subset in turn that can take the request.
+func (b *Balancer) pick(now time.Duration, q *request) *server {
+	capped := b.loadLimit(now)
+	for i := range b.active {
+		s := b.active[(b.turn+i)%len(b.active)]
+		if s.load <= capped && b.canTake(now, q, s) {
+			b.turn = (b.turn + i + 1) % len(b.active)
+			return s
+		}
+	}
+	for i := range b.active {
+		// All that is left is over its relative cap; the cap spreads load and must not refuse it.
+		if s := b.active[(b.turn+i)%len(b.active)]; b.canTake(now, q, s) {
+			return s
+		}
+	}
+	if q.mayHaveRun() == nil {
+		return nil
+	}
+	// A repeat bound to a zone or cell may find no member there: it walks on outside the subset.
+	for _, s := range b.order {
+		if b.canTake(now, q, s) {
+			return s
+		}
+	}
+	return nil
+}
+
+// loadLimit is the smoothed in-flight load above which a member misses its turn.
+func (b *Balancer) loadLimit(now time.Duration) float64 {
+	sum, n := 0.0, 0
+	for _, s := range b.active {
+		s.track(now)
+		if s.entry.State == InService && s.ejected == 0 {
+			sum += s.load
+			n++
+		}
+	}
+	return loadCap * sum / float64(max(n, 1))
+}
+
+// track brings the smoothed load up to now; call it before inFlight changes.
+func (s *server) track(now time.Duration) {
+	keep := math.Exp(-float64(now-s.loadAt) / float64(loadMemory))
+	s.load = s.load*keep + float64(s.inFlight)*(1-keep)
+	s.loadAt = now
+}
+
+// refresh makes the active list: the slice, and for each member that is gone, draining or ejected the next
+// sound server along the round's shuffle, so that every round spreads a loss over others. Lost members stay
+// in the list, where turns pass over them until they are sound again.
+func (b *Balancer) refresh() {
+	b.active = append(b.active[:0], b.order[:b.slice]...)
+	lost := 0
+	for _, s := range b.active {
+		if s.entry.State != InService || s.ejected > 0 {
+			lost++
+		}
+	}
+	for _, s := range b.order[b.slice:] {
+		if lost == 0 {
+			break
+		}
+		if s.entry.State == InService && s.ejected == 0 {
+			b.active = append(b.active, s)
+			lost--
+		}
+	}
+	b.turn %= max(len(b.active), 1)
+}
+
+// canTake says whether a server can take the request now.
+func (b *Balancer) canTake(now time.Duration, q *request, s *server) bool {
+	return s.entry.State == InService && s.inFlight < inFlightCap && b.sound(now, s) && !q.tried(s) &&
+		q.allows(now, s) && b.coldAllows(now, s)
+}
+
+// mayHaveRun is the first attempt that may have run, or nil.
+func (q *request) mayHaveRun() *attempt {
+	for i := range q.attempts {
+		if !q.attempts[i].unrun {
+			return &q.attempts[i]
+		}
+	}
+	return nil
+}
+
+// tried says whether an attempt of the request has gone to s: what went wrong there may do so again.
+func (q *request) tried(s *server) bool {
+	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.s == s })
+}
+
+// allows keeps the rule on effects for a further send: it may go to s only if no attempt may have run, or
+// the class is free, or s is in the group that drops the repeat and still remembers it.
+func (q *request) allows(now time.Duration, s *server) bool {
+	first := q.mayHaveRun()
+	if first == nil || q.class.Effect == Free {
+		return true
+	}
+	if q.class.Effect == SingleShot || now >= first.at+q.class.Window {
+		return false
+	}
+	switch q.class.Group {
+	case GroupZone:
+		return s.entry.Zone == first.s.entry.Zone
+	case GroupCell:
+		return s.entry.Cell == first.s.entry.Cell
+	}
+	return true
+}
+
+// refusable says whether the client may be told that trying again is harmless.
+func (q *request) refusable() bool {
+	return q.mayHaveRun() == nil || q.class.Effect == Free ||
+		q.class.Effect == Guarded && q.class.Group == GroupAll
+}
+
+// Result takes in how an attempt ended.
+func (b *Balancer) Result(now time.Duration, r Result) {
+	q := b.requests[r.ID]
+	if q == nil || r.Attempt < 0 || r.Attempt >= len(q.attempts) || q.attempts[r.Attempt].over {
+		return
+	}
+	a := &q.attempts[r.Attempt]
+	a.over, a.unrun = true, r.Outcome.ProvesUnrun()
+	a.s.track(now)
+	a.s.inFlight--
+	q.out--
+	b.learn(q, r)
+	if q.out == 0 {
+		b.inFlight--
+	}
+	b.judge(now, a.s, r.Outcome)
+	if r.Finished {
+		q.answered = true
+	}
+	if !q.answered && !q.started && q.out == 0 {
+		b.tryAgain(now, q)
+	} else if r.Finished {
+		b.cancelOut(q)
+	}
+	b.forget(q)
+	b.retryHeld(now)
+}
+
+// tryAgain follows an attempt that did not serve the request: another send where the class, the time and
+// the retry budget allow it, or else the final answer.
+func (b *Balancer) tryAgain(now time.Duration, q *request) {
+	if now < q.end && len(q.attempts) < b.set.MaxAttempts && b.retries >= 1 {
+		if s := b.pick(now, q); s != nil {
+			b.retries--
+			b.send(now, q, s)
+			return
+		}
+	}
+	b.answer(q)
+}
+
+// answer ends a request unserved: refused where that promise can be kept, failed otherwise.
+func (b *Balancer) answer(q *request) { b.finish(q, q.refusable()) }
+
+func (b *Balancer) finish(q *request, refuse bool) {
+	q.answered = true
+	if refuse {
+		b.host.Refuse(q.ID)
+	} else {
+		b.host.Fail(q.ID)
+	}
+	b.cancelOut(q)
+	b.forget(q)
+}
+
+// cancelOut calls off what is still out for a request that is over: its work would be waste.
+func (b *Balancer) cancelOut(q *request) {
+	for i := range q.attempts {
+		if a := &q.attempts[i]; !a.over && !a.canceled && b.set.CanCancel {
+			a.canceled = true
+			b.host.Cancel(q.ID, i)
+		}
+	}
+}
+
+// forget drops the record of a request that is over, once no attempt is out that must still be counted.
+func (b *Balancer) forget(q *request) {
+	if q.answered && q.out == 0 {
+		delete(b.requests, q.ID)
+	}
+}
+
+// sound says whether a server is not ejected, or may now have its single trial request.
+func (b *Balancer) sound(now time.Duration, s *server) bool {
+	return s.ejected == 0 || now >= s.ejected && !s.trial
+}
+
+// judge learns a server's health from an outcome: errors, time-outs and refusals count as failures.
+func (b *Balancer) judge(now time.Duration, s *server, o Outcome) {
+	failed := 0.0
+	switch o {
+	case Canceled, Ignored:
+		s.trial = false
+		return
+	case OK:
+		b.served.add(now)
+		s.failRun = 0
+		if s.ejected > 0 {
+			s.ejected, s.failRate, b.panicked = 0, 0, false
+			b.refresh()
+		}
+		s.ejections = 0
+	default:
+		failed = 1
+		s.failRun++
+	}
+	s.trial = false
+	s.failRate += failMemory * (failed - s.failRate)
+	if failed > 0 {
+		b.considerEjection(now, s, o == ConnectError)
+	}
+}
+
+// considerEjection ejects a server that looks dead, for longer each time in a row.
+func (b *Balancer) considerEjection(now time.Duration, s *server, dead bool) {
+	dead = dead || s.failRun >= ejectRun || s.failRate > ejectShare
+	if dead && now >= s.ejected && b.mayEject(s) {
+		s.ejected = now + min(ejectBase<<min(s.ejections, 4), ejectMost)
+		s.ejections++
+		if s.ejections == 1 {
+			b.host.Log("ejected " + s.id)
+		}
+		b.refresh()
+	}
+}
+
+// mayEject is the panic threshold: failures that most of the slice shares do not come from its members, and
+// ejecting these would pile the load onto the last few.
+func (b *Balancer) mayEject(s *server) bool {
+	if s.ejected > 0 {
+		return true // it is out already: the trial has failed
+	}
+	out := 0
+	for _, m := range b.order[:b.slice] {
+		if m.ejected > 0 {
+			out++
+		}
+	}
+	if float64(out+1) <= panicShare*float64(b.slice) {
+		return true
+	}
+	if !b.panicked {
+		b.panicked = true
+		b.host.Log("panic threshold: no further ejections, too much of the subset is out")
+	}
+	return false
+}
+
+// stalled notes that an attempt is out for longer than nearly all of its class take. A silent server shows
+// in nothing else, so it counts as a failure until an answer comes. No second copy is sent: copies took the
+// retry budget from real failures and multiplied from tier to tier, which cost more than they saved.
+func (b *Balancer) stalled(now time.Duration, q *request, index int) {
+	if a := &q.attempts[index]; !a.over {
+		a.s.failRun++
+		b.considerEjection(now, a.s, false)
+	}
+}
+
+// Started takes in that the answer to a request has begun to stream: no further send, no deadline.
+func (b *Balancer) Started(now time.Duration, id string, attempt int) {
+	if q := b.requests[id]; q != nil {
+		q.started = true
+	}
+}
+
+// Dropped takes in that the client has gone.
+func (b *Balancer) Dropped(now time.Duration, id string) {
+	if q := b.requests[id]; q != nil {
+		q.answered = true
+		b.forget(q)
+	}
+}
+
+// retryHeld looks for room for the held requests, the most worth first.
+func (b *Balancer) retryHeld(now time.Duration) {
+	kept := b.held[:0]
+	for _, q := range b.held {
+		if q.answered {
+			continue
+		}
+		if b.admitted() {
+			if s := b.pick(now, q); s != nil {
+				b.send(now, q, s)
+				continue
+			}
+		}
+		kept = append(kept, q)
+	}
+	clear(b.held[len(kept):])
+	b.held = kept
+}
+
+// keepHolding lets held requests look again soon, for as long as there are any.
+func (b *Balancer) keepHolding() {
+	if b.holding || len(b.held) == 0 {
+		return
+	}
+	b.holding = true
+	b.after(holdStep, func(now time.Duration) {
+		b.holding = false
+		b.retryHeld(now)
+		b.keepHolding()
+	})
+}
+
+// Update takes in what the list service says.
+func (b *Balancer) Update(now time.Duration, kind ListKind, entries []Entry) {
+	if kind == ListFailed {
+		if b.watchFail++; b.watchFail == watchWarn {
+			b.host.Log("list: no answer to several watches in a row; going on with the list held")
+		}
+		b.watchSoon()
+		return
+	}
+	if kind == Cached {
+		b.watchSoon()
+	} else {
+		b.watchFail = 0
+	}
+	if kind != Delta {
+		for _, s := range b.servers {
+			s.entry.State = Gone
+		}
+	}
+	for _, e := range entries {
+		s := b.servers[e.ID]
+		if s == nil {
+			s = &server{id: e.ID, listed: now}
+			b.servers[e.ID] = s
+		}
+		if s.entry.Boot != e.Boot {
+			// The first sends of all instances must not meet: each begins with a random debt.
+			s.coldAt, s.coldTokens = now, 1-2*b.random()
+			s.failRun, s.failRate, s.ejected, s.ejections = 0, 0, 0, 0
+		}
+		s.entry = e
+	}
+	b.cut(now)
+	b.retryHeld(now)
+}
+
+// watchSoon subscribes where the list must be asked. The wait is random and grows with each failure, so
+// that a whole tier started at once does not swamp the list service; it stays under AskEvery, after which
+// an instance counts as told of what it has not heard.
+func (b *Balancer) watchSoon() {
+	if !b.set.AskForList {
+		return
+	}
+	wait := min(b.set.AskEvery/16<<min(b.watchFail, 3), b.set.AskEvery/2)
+	b.after(time.Duration(b.random()*float64(wait)), func(time.Duration) { b.host.Watch() })
+}
+
+// cut takes this instance's slice of the full list, as the book has it: sorted by id, draining members
+// included, shuffled by the round's seed, cut by the own number; leftovers go one each to the first slices.
+func (b *Balancer) cut(now time.Duration) {
+	if !b.keepSlots(now) {
+		b.slots = b.slots[:0]
+		for _, s := range b.servers {
+			if s.entry.State != Gone {
+				b.slots = append(b.slots, s)
+			}
+		}
+		slices.SortFunc(b.slots, byID)
+	}
+	for id, s := range b.servers {
+		if s.entry.State == Gone && s.inFlight == 0 && !slices.Contains(b.slots, s) {
+			delete(b.servers, id)
+		}
+	}
+	from, to, round := subset(b.set.Self, b.set.Instances, len(b.slots))
+	order := shuffled(b.slots, round)
+	b.order = append(slices.Clone(order[from:]), order[:from]...)
+	b.slice = to - from
+	b.refresh()
+}
+
+// keepSlots keeps the order that the shuffle starts from while servers come and go, and reports whether that
+// could be done. Sorting anew would shift every later server and reshuffle nearly all subsets at each step of
+// a release or crash, at each instance at another time. So who is gone keeps its place, empty; a new id takes
+// the place of one that is gone or draining; and a new server that replaces nobody waits, for as long as it
+// would be cold at most, for a place to come free.
+func (b *Balancer) keepSlots(now time.Duration) bool {
+	var joining []*server
+	for _, s := range b.servers {
+		if s.entry.State != Gone && !slices.Contains(b.slots, s) {
+			joining = append(joining, s)
+		}
+	}
+	slices.SortFunc(joining, byID)
+	vacant := 0
+	for i, s := range b.slots {
+		switch {
+		case s.entry.State == InService:
+		case len(joining) > 0:
+			b.slots[i], joining = joining[0], joining[1:]
+		case s.entry.State == Gone:
+			vacant++
+		}
+	}
+	for _, s := range joining {
+		if now >= s.listed+b.set.WarmUp {
+			return false
+		}
+	}
+	if len(joining) > 0 && len(b.slots) > 0 {
+		b.after(b.set.WarmUp, b.cut)
+	}
+	return len(b.slots) > 0 && float64(vacant) <= vacantShare*float64(len(b.slots))
+}
+
+func byID(x, y *server) int { return cmp.Compare(x.id, y.id) }
+
+// subset says which slice of which round's shuffle an instance takes.
+func subset(self, instances, servers int) (from, to, round int) {
+	count := subsetCount(instances, servers)
+	slice := self % count
+	size, left := servers/count, servers%count
+	from = slice*size + min(slice, left)
+	to = from + size
+	if slice < left {
+		to++
+	}
+	return from, to, self / count
+}
+
+// subsetCount says into how many slices a round cuts the list: among the counts that give subsetBase to
+// twice as many members, the one whose last, unfinished round leaves the coverage most even.
+func subsetCount(instances, servers int) int {
+	best, bestUneven := 1, 2.0
+	for count := max(servers/subsetBase, 1); count >= max(servers/(2*subsetBase), 1); count-- {
+		rounds, rest := instances/count, instances%count
+		share := float64(rest) / float64(count)
+		uneven := share * (1 - share) / max(float64(rounds*rounds), share*share)
+		if uneven < bestUneven {
+			best, bestUneven = count, uneven
+		}
+	}
+	return best
+}
+
+// shuffled is a Fisher-Yates shuffle over PCG seeded by the round alone, so that all instances agree on it.
+func shuffled(list []*server, round int) []*server {
+	order := slices.Clone(list)
+	rng := rand.NewPCG(uint64(round), shuffleStream)
+	for i := len(order) - 1; i > 0; i-- {
+		j := int(rng.Uint64() % uint64(i+1))
+		order[i], order[j] = order[j], order[i]
+	}
+	return order
+}
+
+// coldShare is the part of its full capacity that a server can be counted on to have.
+func (b *Balancer) coldShare(now time.Duration, s *server) float64 {
+	age := now - s.entry.Boot
+	if s.entry.Boot <= 0 || age >= b.set.WarmUp {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*float64(max(age, 0))/float64(b.set.WarmUp)
+}
+
+// coldAllows keeps a cold server standing. All instances together may send it FallMultiple times its present
+// capacity; each keeps to its own part of once that: what a member serves it on average, times the cold
+// share. What is sent would be no guide: under overload it is a multiple of what servers can do. Only the
+// slice's own members are warmed up: as a spare, a cold server would hear from instances that its budget
+// does not count on.
+func (b *Balancer) coldAllows(now time.Duration, s *server) bool {
+	share := b.coldShare(now, s)
+	if share >= 1 {
+		return true
+	}
+	if !slices.Contains(b.order[:b.slice], s) {
+		return false
+	}
+	perMember := b.served.at(now) / float64(b.slice)
+	s.coldTokens = min(s.coldTokens+perMember*share*(now-s.coldAt).Seconds(), 1)
+	s.coldAt = now
+	return s.coldTokens >= 1
+}
+
+func (b *Balancer) spendCold(now time.Duration, s *server) {
+	if b.coldShare(now, s) < 1 {
+		s.coldTokens--
+	}
+}
+
+// rate is a smoothed count of events a second.
+type rate struct {
+	per  float64
+	last time.Duration
+}
+
+// rateMemory is the time over which a rate is smoothed.
+const rateMemory = 4 * time.Second
+
+func (r *rate) add(now time.Duration) {
+	r.per = r.at(now) + 1/rateMemory.Seconds()
+	r.last = now
+}
+
+func (r *rate) at(now time.Duration) float64 {
+	return r.per * math.Exp(-float64(now-r.last)/float64(rateMemory))
+}
+
+// quantile follows a quantile of durations, in seconds, by small steps; 0 until the first.
+type quantile float64
+
+func (e *quantile) observe(d time.Duration, q float64) {
+	switch x := quantile(max(d.Seconds(), minCost)); {
+	case *e == 0:
+		*e = x
+	case x < *e:
+		*e *= quantile(1 - quantileStep*(1-q))
+	default:
+		*e *= quantile(1 + quantileStep*q)
+	}
+}
+
+// bucket is a token bucket that starts full.
+type bucket struct {
+	tokens float64
+	last   time.Duration
+	known  bool
+}
+
+func (t *bucket) take(now time.Duration, perSecond, most float64) bool {
+	if !t.known {
+		t.known, t.tokens = true, most
+	}
+	t.tokens = min(t.tokens+perSecond*(now-t.last).Seconds(), most)
+	t.last = now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// after calls f once the delay has passed.
+func (b *Balancer) after(delay time.Duration, f func(now time.Duration)) {
+	b.lastTimer++
+	b.timers[b.lastTimer] = f
+	b.host.SetTimer(max(delay, 0), b.lastTimer)
+}
+
+// Timer takes in that a timer has come due.
+func (b *Balancer) Timer(now time.Duration, token uint64) {
+	if f := b.timers[token]; f != nil {
+		delete(b.timers, token)
+		f(now)
+	}
+}
+
+// giveUp gives the final answer that is due when the client stops waiting.
+func (b *Balancer) giveUp(q *request) {
+	if !q.answered && !q.started {
+		// Too late to be of use: a refusal would invite the client to spend more on it.
+		b.finish(q, false)
+	}
+}
+
+// random is uniform in [0, 1) from the instance's own seed.
+func (b *Balancer) random() float64 { return float64(b.rng.Uint64()>>11) / (1 << 53) }
--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,780 @@
+package lemonflow
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+// fake is a host that records actions on a hand-set clock.
+type fake struct {
+	t       testing.TB
+	now     time.Duration
+	b       *Balancer
+	sent    map[string][]string // server of each attempt, by request
+	final   map[string]string
+	ended   map[string]bool
+	timers  []timer
+	actions []string
+	watches int
+	logs    []string
+}
+
+func (f *fake) note(format string, v ...any) {
+	f.actions = append(f.actions, fmt.Sprintf("%v ", f.now)+fmt.Sprintf(format, v...))
+}
+
+func (f *fake) Send(id, server string, timeout time.Duration) {
+	if f.final[id] != "" || f.ended[id] {
+		f.t.Errorf("%v: %s sent after its end", f.now, id)
+	}
+	f.sent[id] = append(f.sent[id], server)
+	f.note("send %s %s %v", id, server, timeout)
+}
+func (f *fake) Refuse(id string)              { f.finish(id, "refused") }
+func (f *fake) Fail(id string)                { f.finish(id, "failed") }
+func (f *fake) Cancel(id string, attempt int) { f.note("cancel %s %d", id, attempt) }
+func (f *fake) Watch()                        { f.watches++; f.note("watch") }
+func (f *fake) Log(line string)               { f.logs = append(f.logs, line) }
+func (f *fake) SetTimer(d time.Duration, token uint64) {
+	f.timers = append(f.timers, timer{f.now + d, token})
+}
+
+func (f *fake) finish(id, how string) {
+	if f.final[id] != "" || f.ended[id] {
+		f.t.Errorf("%v: second final answer for %s", f.now, id)
+	}
+	f.final[id] = how
+	f.note("%s %s", how, id)
+}
+
+// advance rings every timer due up to the given time, in order.
+func (f *fake) advance(to time.Duration) {
+	for {
+		next := -1
+		for i, t := range f.timers {
+			if t.at <= to && (next < 0 || t.at < f.timers[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			f.now = max(f.now, to)
+			return
+		}
+		t := f.timers[next]
+		f.timers = slices.Delete(f.timers, next, next+1)
+		f.now = max(f.now, t.at)
+		f.b.Timer(f.now, t.token)
+	}
+}
+
+func (f *fake) submit(id string, class int) {
+	f.b.Submit(f.now, Request{ID: id, Class: class, Left: f.b.set.Classes[class].GiveUp})
+}
+
+func (f *fake) result(id string, attempt int, o Outcome) {
+	if o == OK {
+		f.ended[id] = true
+	}
+	f.b.Result(f.now, Result{ID: id, Attempt: attempt, Outcome: o, Latency: 10 * ms, Finished: o == OK || f.final[id] != ""})
+}
+
+func testSettings() Settings {
+	return Settings{
+		Instances: 1, MaxAttempts: 4, CanCancel: true, AskEvery: 10 * time.Second,
+		ColdFrom: 0.3, WarmUp: 10 * time.Second, FallMultiple: 3, FallTime: time.Second,
+		Classes: []Class{
+			{Aim: time.Second, GiveUp: 2 * time.Second, Worth: 1, LateWorth: 0.5},
+			{Aim: time.Second, GiveUp: 2 * time.Second, Worth: 5, Effect: Guarded, Group: GroupZone, Window: time.Second},
+			{Aim: time.Second, GiveUp: 2 * time.Second, Worth: 5, Effect: SingleShot, Window: 5 * time.Second},
+			{Aim: time.Second, GiveUp: 2 * time.Second, Worth: 5, Effect: Guarded, Group: GroupCell, Window: time.Second},
+			{Aim: time.Second, GiveUp: 2 * time.Second, Worth: 5, Effect: Guarded, Group: GroupAll, Window: time.Second},
+		},
+	}
+}
+
+func newFake(t testing.TB, set Settings, servers []Entry) *fake {
+	t.Helper()
+	f := &fake{t: t, now: time.Hour, sent: map[string][]string{}, final: map[string]string{}, ended: map[string]bool{}}
+	b, err := New(set, 7, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.b = b
+	if servers != nil {
+		b.Update(f.now, Full, servers)
+	}
+	return f
+}
+
+func fleet(n int) []Entry {
+	list := make([]Entry, n)
+	for i := range list {
+		list[i] = Entry{ID: fmt.Sprintf("s%03d", i), Zone: i % 2, Cell: i % 4}
+	}
+	return list
+}
+
+func TestSubsetCoverage(t *testing.T) {
+	for _, c := range []struct{ instances, servers int }{
+		{1, 3}, {1, 8}, {12, 40}, {70, 193}, {125, 68}, {68, 115}, {7, 100}, {10, 1}, {3, 0},
+	} {
+		t.Run(fmt.Sprintf("%dx%d", c.instances, c.servers), func(t *testing.T) {
+			count := subsetCount(c.instances, c.servers)
+			seen := map[int]map[string]int{}
+			total := map[string]int{}
+			for self := range c.instances {
+				set := testSettings()
+				set.Self, set.Instances = self, c.instances
+				b := newFake(t, set, fleet(c.servers)).b
+				round := self / count
+				if seen[round] == nil {
+					seen[round] = map[string]int{}
+				}
+				for _, s := range b.active {
+					seen[round][s.id]++
+					total[s.id]++
+					if seen[round][s.id] > 1 {
+						t.Fatalf("slices of round %d share %s", round, s.id)
+					}
+				}
+				if size := len(b.active); size < c.servers/count || size > c.servers/count+1 {
+					t.Fatalf("slice of %d in %d servers, %d slices", size, c.servers, count)
+				}
+			}
+			for round, servers := range seen {
+				if (round+1)*count <= c.instances && len(servers) != c.servers {
+					t.Fatalf("round %d covers %d of %d", round, len(servers), c.servers)
+				}
+			}
+			rounds := c.instances / count
+			for id, n := range total {
+				if n < rounds || n > rounds+1 {
+					t.Fatalf("%s is in %d subsets of %d rounds", id, n, rounds)
+				}
+			}
+		})
+	}
+}
+
+// TestShuffleIsFixed pins the cut: instances built by different releases must agree on it.
+func TestShuffleIsFixed(t *testing.T) {
+	b := newFake(t, testSettings(), fleet(8)).b
+	got := []string{}
+	for _, s := range shuffled(b.slots, 3) {
+		got = append(got, s.id)
+	}
+	const want = "s000 s002 s003 s001 s005 s004 s007 s006"
+	if strings.Join(got, " ") != want {
+		t.Fatalf("round 3 shuffles to %q, want %q", strings.Join(got, " "), want)
+	}
+}
+
+func TestEvenTurnsAndSkips(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(6))
+	f.b.Update(f.now, Delta, []Entry{{ID: "s002", State: Draining}})
+	count := map[string]int{}
+	for i := range 50 {
+		id := fmt.Sprint("r", i)
+		f.submit(id, 0)
+		f.advance(f.now + 10*ms)
+		f.result(id, 0, OK)
+		count[f.sent[id][0]]++
+	}
+	for _, s := range f.b.slots {
+		want := 10
+		if s.id == "s002" {
+			want = 0
+		}
+		if count[s.id] != want {
+			t.Errorf("%s got %d turns, want %d", s.id, count[s.id], want)
+		}
+	}
+}
+
+func TestSlowMemberMissesTurns(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(4))
+	count := map[string]int{}
+	for i := range 400 {
+		id := fmt.Sprint("r", i)
+		f.submit(id, 0)
+		server := f.sent[id][0]
+		count[server]++
+		f.advance(f.now + 10*ms)
+		if server == "s001" { // holds each request for 200 ms
+			f.timers = append(f.timers, timer{f.now + 200*ms, 1 << 40})
+			f.b.timers[1<<40] = func(time.Duration) { f.result(id, 0, OK) }
+			continue
+		}
+		f.result(id, 0, OK)
+	}
+	if count["s001"]*2 > count["s000"] {
+		t.Errorf("the slow member got %d turns, its peer %d", count["s001"], count["s000"])
+	}
+}
+
+// TestEffects plays one outcome of the first attempt for each class and says what may follow.
+func TestEffects(t *testing.T) {
+	const free, zone, single, cell, all = 0, 1, 2, 3, 4
+	for _, c := range []struct {
+		class   int
+		outcome Outcome
+		same    func(a, b Entry) bool // where the second attempt must go; nil: there must be none
+		final   string
+	}{
+		{free, Failed, func(a, b Entry) bool { return true }, ""},
+		{zone, Failed, func(a, b Entry) bool { return a.Zone == b.Zone }, ""},
+		{cell, Reset, func(a, b Entry) bool { return a.Cell == b.Cell }, ""},
+		{all, Failed, func(a, b Entry) bool { return true }, ""},
+		{single, Failed, nil, "failed"},
+		{single, Reset, nil, "failed"},
+		{single, QueueFull, func(a, b Entry) bool { return true }, ""},
+		{single, ConnectError, func(a, b Entry) bool { return true }, ""},
+	} {
+		t.Run(fmt.Sprint(c.class, c.outcome), func(t *testing.T) {
+			servers := fleet(40)
+			f := newFake(t, testSettings(), servers)
+			byID := map[string]Entry{}
+			for _, e := range servers {
+				byID[e.ID] = e
+			}
+			f.submit("r", c.class)
+			f.result("r", 0, c.outcome)
+			if c.same == nil {
+				if len(f.sent["r"]) != 1 || f.final["r"] != c.final {
+					t.Fatalf("sent %v, final %q", f.sent["r"], f.final["r"])
+				}
+				return
+			}
+			if len(f.sent["r"]) != 2 || !c.same(byID[f.sent["r"][0]], byID[f.sent["r"][1]]) {
+				t.Fatalf("sent %v", f.sent["r"])
+			}
+		})
+	}
+}
+
+func TestWindowEndsRepeats(t *testing.T) {
+	set := testSettings()
+	set.Layer = 1 // no early end at the aim
+	f := newFake(t, set, fleet(8))
+	f.submit("r", 1)
+	f.advance(f.now + time.Second)
+	f.result("r", 0, Failed)
+	if len(f.sent["r"]) != 1 || f.final["r"] != "failed" {
+		t.Fatalf("sent %v, final %q: the window was over", f.sent["r"], f.final["r"])
+	}
+}
+
+func TestNoServerHoldsThenAnswers(t *testing.T) {
+	f := newFake(t, testSettings(), []Entry{})
+	f.submit("r", 2)
+	f.advance(f.now + 100*ms)
+	if f.final["r"] != "" {
+		t.Fatal("answered at once, not held")
+	}
+	f.advance(f.now + 2*time.Second)
+	if f.final["r"] != "refused" {
+		t.Fatalf("final %q", f.final["r"])
+	}
+	f.submit("q", 2)
+	f.b.Update(f.now, Full, fleet(2))
+	if len(f.sent["q"]) != 1 {
+		t.Fatal("a held request was not sent when a server came")
+	}
+}
+
+func TestAnswerIsDueAtTheDeadline(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(4))
+	start := f.now
+	f.submit("free", 0)
+	f.submit("single", 2)
+	f.advance(start + time.Second)
+	if f.final["single"] != "failed" || f.final["free"] != "" {
+		t.Fatalf("at the aim: single %q, free %q", f.final["single"], f.final["free"])
+	}
+	f.advance(start + 2*time.Second)
+	if f.final["free"] == "" {
+		t.Fatal("no answer at the deadline")
+	}
+	f.result("free", 0, TimedOut) // comes later; must be harmless
+	if len(f.b.requests) != 1 {
+		t.Fatalf("%d records left, want the one whose attempt is out", len(f.b.requests))
+	}
+}
+
+func TestTriesGiveUp(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(8))
+	f.submit("r", 0)
+	for i := 0; f.final["r"] == ""; i++ {
+		if i >= 4 {
+			t.Fatalf("%d attempts of at most 4", len(f.sent["r"]))
+		}
+		f.result("r", i, Failed)
+	}
+	seen := map[string]bool{}
+	for _, s := range f.sent["r"] {
+		if seen[s] {
+			t.Errorf("went back to %s", s)
+		}
+		seen[s] = true
+	}
+}
+
+func TestFailingMemberIsEjectedAndTried(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(6))
+	bad := f.b.servers["s003"]
+	sent := func(n int) (count int) {
+		for range n {
+			id := fmt.Sprint("r", len(f.sent))
+			f.submit(id, 2)
+			f.advance(f.now + 10*ms)
+			if f.sent[id][0] == "s003" {
+				count++
+				f.result(id, 0, Failed)
+			} else {
+				f.result(id, 0, OK)
+			}
+		}
+		return count
+	}
+	sent(18)
+	if bad.ejected == 0 {
+		t.Fatal("not ejected after three failures")
+	}
+	if n := sent(30); n != 0 {
+		t.Fatalf("%d requests while ejected", n)
+	}
+	f.advance(bad.ejected)
+	if n := sent(30); n != 1 {
+		t.Fatalf("%d trial requests, want 1", n)
+	}
+	f.advance(bad.ejected)
+	f.submit("ok", 2)
+	for f.sent["ok"][0] != "s003" {
+		f.result("ok", 0, OK)
+		delete(f.sent, "ok")
+		delete(f.ended, "ok")
+		f.submit("ok", 2)
+	}
+	f.result("ok", 0, OK)
+	if bad.ejected != 0 {
+		t.Fatal("the trial succeeded, yet it stays ejected")
+	}
+}
+
+func TestPanicThreshold(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(6))
+	for i := range 60 {
+		id := fmt.Sprint("r", i)
+		f.submit(id, 2)
+		if f.sent[id] != nil {
+			f.result(id, 0, Failed)
+		}
+	}
+	out := 0
+	for _, s := range f.b.slots {
+		if s.ejected > 0 {
+			out++
+		}
+	}
+	if out != 3 {
+		t.Fatalf("%d of 6 ejected though all fail", out)
+	}
+}
+
+func TestColdServerGetsItsShare(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(5))
+	run := func(n int) (cold int) {
+		for range n {
+			id := fmt.Sprint("r", len(f.sent))
+			f.submit(id, 0)
+			f.advance(f.now + 10*ms)
+			if f.sent[id][0] == "s002" {
+				cold++
+			}
+			f.result(id, 0, OK)
+		}
+		return cold
+	}
+	warm := run(1000) / 5
+	f.b.Update(f.now, Delta, []Entry{{ID: "s002", Boot: f.now}})
+	// One second: 100 requests, of which a warm member would get 20 and one at 30 to 37% of its capacity 7.
+	if n := run(100); n < 3 || n > 9 {
+		t.Fatalf("the cold server got %d of 100, a warm one gets %d of 1000", n, warm)
+	}
+}
+
+func TestAdmissionPrefersWorth(t *testing.T) {
+	set := testSettings()
+	f := newFake(t, set, fleet(4))
+	f.b.limit = 2
+	f.submit("a", 0)
+	f.submit("b", 0)
+	f.submit("cheap", 0)
+	f.submit("dear", 2)
+	if len(f.sent["cheap"])+len(f.sent["dear"]) != 0 {
+		t.Fatal("sent past the admission limit")
+	}
+	f.result("a", 0, OK)
+	if len(f.sent["dear"]) != 1 || len(f.sent["cheap"]) != 0 {
+		t.Fatal("the room went to the request of less worth")
+	}
+	f.advance(f.now + time.Second)
+	if f.final["cheap"] != "refused" {
+		t.Fatalf("held too long: %q", f.final["cheap"])
+	}
+}
+
+func TestLateRepeatIsRefused(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(4))
+	f.b.Submit(f.now, Request{ID: "first", Class: 2, Left: 1200 * ms})
+	f.b.Submit(f.now, Request{ID: "late", Class: 2, Left: 500 * ms}) // 1.5 s old, aim 1 s
+	if len(f.sent["first"]) != 1 || len(f.sent["late"]) != 0 || f.final["late"] != "refused" {
+		t.Fatalf("first %v, late %v %q", f.sent["first"], f.sent["late"], f.final["late"])
+	}
+}
+
+func TestWatchBacksOff(t *testing.T) {
+	set := testSettings()
+	set.AskForList = true
+	f := newFake(t, set, nil)
+	f.b.Update(f.now, Cached, fleet(4))
+	for i := range 8 {
+		start := f.now
+		f.advance(start + set.AskEvery/2)
+		if f.watches != i+1 {
+			t.Fatalf("%d calls after %d answers", f.watches, i)
+		}
+		f.b.Update(f.now, ListFailed, nil)
+	}
+	f.b.Update(f.now, Full, fleet(4))
+	before := f.watches
+	f.advance(f.now + set.AskEvery/2)
+	f.advance(f.now + time.Minute)
+	if f.watches > before+1 {
+		t.Fatal("asks again while subscribed")
+	}
+}
+
+func TestUnknownThingsAreIgnored(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(4))
+	f.b.Result(f.now, Result{ID: "nobody", Outcome: OK, Finished: true})
+	f.b.Dropped(f.now, "nobody")
+	f.b.Started(f.now, "nobody", 0)
+	f.b.Timer(f.now, 1<<50)
+	f.b.Submit(f.now, Request{ID: "x", Class: 99, Left: time.Second})
+	if f.final["x"] != "refused" {
+		t.Error("a request of an unknown class must be refused, not lost")
+	}
+	f.submit("r", 0)
+	f.b.Result(f.now, Result{ID: "r", Attempt: 5, Outcome: Failed})
+	f.b.Result(f.now, Result{ID: "r", Attempt: -1, Outcome: Failed})
+	f.b.Dropped(f.now, "r")
+	f.ended["r"] = true
+	f.result("r", 0, Canceled)
+	f.result("r", 0, Canceled)
+	if s := f.b.servers[f.sent["r"][0]]; s.inFlight != 0 || len(f.b.requests) != 0 {
+		t.Errorf("in flight %d, records %d", s.inFlight, len(f.b.requests))
+	}
+}
+
+func TestSettingsThatCannotBe(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"no classes":     func(s *Settings) { s.Classes = nil },
+		"own number":     func(s *Settings) { s.Self = 1 },
+		"no instances":   func(s *Settings) { s.Instances = 0 },
+		"unknown effect": func(s *Settings) { s.Classes[0].Effect = 9 },
+		"no attempts":    func(s *Settings) { s.MaxAttempts = 0 },
+	} {
+		s := testSettings()
+		spoil(&s)
+		if _, err := New(s, 1, &fake{}); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+// TestRandomDays feeds legal random events and holds the instance to the four rules.
+func TestRandomDays(t *testing.T) {
+	for seed := range uint64(30) {
+		if a, b := randomDay(t, seed), randomDay(t, seed); !slices.Equal(a, b) {
+			t.Fatalf("seed %d: the same events gave other actions", seed)
+		}
+	}
+}
+
+func randomDay(t *testing.T, seed uint64) []string {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	set := testSettings()
+	set.Instances, set.Self = 1+rng.IntN(9), 0
+	set.AskForList = seed%2 == 0
+	set.Layer = int(seed % 3)
+	list := fleet(3 + rng.IntN(40))
+	f := newFake(t, set, list)
+	byID := map[string]*Entry{}
+	for i := range list {
+		byID[list[i].ID] = &list[i]
+	}
+	type open struct {
+		class int
+		due   time.Duration
+		outs  []Outcome
+		done  []bool
+	}
+	reqs := map[string]*open{}
+	ids := []string{}
+	seen := 0
+	for step := range 1500 {
+		f.advance(f.now + time.Duration(rng.IntN(20))*ms)
+		switch k := rng.IntN(20); {
+		case k < 8:
+			id := fmt.Sprint("r", step)
+			class := rng.IntN(len(set.Classes))
+			reqs[id] = &open{class: class, due: f.now + set.Classes[class].GiveUp}
+			ids = append(ids, id)
+			f.submit(id, class)
+		case k < 18 && len(ids) > 0:
+			id := ids[rng.IntN(len(ids))]
+			q := reqs[id]
+			for i := range q.done {
+				if !q.done[i] {
+					q.done[i] = true
+					q.outs[i] = []Outcome{OK, OK, OK, Failed, QueueFull, ConnectError, Reset}[rng.IntN(7)]
+					f.result(id, i, q.outs[i])
+					break
+				}
+			}
+		case k == 18:
+			e := byID[list[rng.IntN(len(list))].ID]
+			e.State = State(rng.IntN(3))
+			if e.State == InService && rng.IntN(2) == 0 {
+				e.Boot = f.now
+			}
+			f.b.Update(f.now, Delta, []Entry{*e})
+		case k == 19 && rng.IntN(4) == 0:
+			f.b.Update(f.now, ListFailed, nil)
+		}
+		for _, line := range f.actions[seen:] {
+			word := strings.Fields(line)
+			if word[1] == "send" {
+				q, e := reqs[word[2]], byID[word[3]]
+				if e.State != InService {
+					t.Fatalf("seed %d: %s, which is not in service", seed, line)
+				}
+				c := set.Classes[q.class]
+				for i := range q.outs {
+					mayHave := !q.done[i] || !q.outs[i].ProvesUnrun()
+					first := byID[f.sent[word[2]][i]]
+					if mayHave && (c.Effect == SingleShot || c.Effect == Guarded &&
+						(c.Group == GroupZone && first.Zone != e.Zone || c.Group == GroupCell && first.Cell != e.Cell)) {
+						t.Fatalf("seed %d: %s repeats an effect", seed, line)
+					}
+				}
+				q.outs, q.done = append(q.outs, OK), append(q.done, false)
+			}
+			if word[1] == "refused" {
+				q := reqs[word[2]]
+				c := set.Classes[q.class]
+				for i := range q.outs {
+					mayHave := !q.done[i] || !q.outs[i].ProvesUnrun()
+					if mayHave && c.Effect != Free && (c.Effect == SingleShot || c.Group != GroupAll) {
+						t.Fatalf("seed %d: %s may have run", seed, line)
+					}
+				}
+			}
+		}
+		seen = len(f.actions)
+		ids = slices.DeleteFunc(ids, func(id string) bool {
+			over := f.final[id] != "" || f.ended[id]
+			if !over && f.now > reqs[id].due {
+				t.Fatalf("seed %d: %s has no answer", seed, id)
+			}
+			return over && !slices.Contains(reqs[id].done, false)
+		})
+	}
+	return f.actions
+}
+
+func TestModuleKeepsItsSize(t *testing.T) {
+	f, err := os.Open("balancer.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines := 0
+	for sc := bufio.NewScanner(f); sc.Scan(); {
+		text := strings.ReplaceAll(sc.Text(), "\t", "    ")
+		if strings.TrimSpace(text) != "" {
+			lines++
+		}
+		if len(text) > 110 {
+			t.Errorf("a line of %d characters: %s", len(text), text)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d lines, at most 850", lines)
+	}
+}
+
+func TestSwappedIDKeepsTheOtherSubsets(t *testing.T) {
+	set := testSettings()
+	set.Instances = 5
+	f := newFake(t, set, fleet(40))
+	before := slices.Clone(f.b.order)
+	f.b.Update(f.now, Delta, []Entry{{ID: "a-new"}}) // sorts first: a cut anew would shift all
+	if !slices.Equal(before, f.b.order) {
+		t.Fatal("a newcomer that replaces nobody reshuffled at once")
+	}
+	f.b.Update(f.now, Delta, []Entry{{ID: "s020", State: Draining}})
+	for i, s := range f.b.order {
+		want := before[i].id
+		if want == "s020" {
+			want = "a-new"
+		}
+		if s.id != want {
+			t.Fatalf("place %d went from %s to %s", i, before[i].id, s.id)
+		}
+	}
+}
+
+func TestCrashedServerKeepsItsPlace(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(40))
+	before := slices.Clone(f.b.order)
+	f.b.Update(f.now, Delta, []Entry{{ID: "s004", State: Gone}})
+	f.b.Update(f.now, Delta, []Entry{{ID: "s004", Boot: f.now}})
+	if !slices.Equal(before, f.b.order) {
+		t.Fatal("a restart reshuffled the list")
+	}
+}
+
+func TestNewcomersAreTakenInAfterTheWarmUp(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(10))
+	f.b.Update(f.now, Delta, []Entry{{ID: "extra"}})
+	f.advance(f.now + f.b.set.WarmUp)
+	if len(f.b.order) != 11 || f.b.slots[0].id != "extra" {
+		t.Fatalf("%d servers in the list, want 11 sorted anew", len(f.b.order))
+	}
+}
+
+func TestListShrinksWhenMostPlacesAreEmpty(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(10))
+	f.b.Update(f.now, Full, fleet(4))
+	if len(f.b.order) != 4 {
+		t.Fatalf("%d places for 4 servers", len(f.b.order))
+	}
+}
+
+func TestStalledServerIsEjected(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(6))
+	for i := range 12 {
+		id := fmt.Sprint("a", i)
+		f.submit(id, 0)
+		f.advance(f.now + 10*ms)
+		f.result(id, 0, OK)
+	}
+	f.advance(f.now + 5*time.Second) // all load forgotten
+	for i := range 18 {
+		id := fmt.Sprint("r", i)
+		f.submit(id, 0)
+		if f.sent[id][0] != "s005" { // s005 never answers
+			f.result(id, 0, OK)
+		}
+	}
+	f.advance(f.now + 100*ms)
+	if f.b.servers["s005"].ejected == 0 {
+		t.Fatal("the silent server is not ejected")
+	}
+	if !slices.Contains(f.logs, "ejected s005") {
+		t.Fatalf("logs %v", f.logs)
+	}
+}
+
+func TestLogsAListOutOfReachAndAPanic(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(2))
+	for range watchWarn {
+		f.b.Update(f.now, ListFailed, nil)
+	}
+	for i := range 20 {
+		id := fmt.Sprint("r", i)
+		f.submit(id, 2)
+		if f.sent[id] != nil {
+			f.result(id, 0, Failed)
+		}
+	}
+	for _, want := range []string{"list:", "panic threshold:"} {
+		if !slices.ContainsFunc(f.logs, func(l string) bool { return strings.HasPrefix(l, want) }) {
+			t.Errorf("no line %q in %v", want, f.logs)
+		}
+	}
+}
+
+func TestOverQuotaTenantWaitsBehind(t *testing.T) {
+	set := testSettings()
+	set.Tenants = []Tenant{{QuotaPerSecond: 1}, {QuotaPerSecond: 100}}
+	set.OverShareWorth = 0.05
+	f := newFake(t, set, fleet(4))
+	send := func(id string, tenant int) {
+		f.b.Submit(f.now, Request{ID: id, Class: 0, Tenant: tenant, Left: time.Second})
+	}
+	f.b.limit = 4
+	for i := range 4 {
+		send(fmt.Sprint("over", i), 0) // two fit the saved quota
+	}
+	send("over4", 0)
+	send("within", 1)
+	f.result("over0", 0, OK)
+	if len(f.sent["within"]) != 1 || len(f.sent["over4"]) != 0 {
+		t.Fatalf("within its quota sent %v, beyond %v", f.sent["within"], f.sent["over4"])
+	}
+}
+
+// TestAllColdAtOnce restarts the whole fleet: what is sent within the rule's window, repeats included, stays
+// within what cold servers of one instance's own measure can do.
+func TestAllColdAtOnce(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(5))
+	for i := range 1000 { // 100 a second, 20 a member
+		id := fmt.Sprint("r", i)
+		f.submit(id, 0)
+		f.advance(f.now + 10*ms)
+		f.result(id, 0, OK)
+	}
+	cold := fleet(5)
+	for i := range cold {
+		cold[i].Boot = f.now
+	}
+	f.b.Update(f.now, Full, cold)
+	sent, answered := map[string]int{}, map[string]int{}
+	for i := range 100 {
+		id := fmt.Sprint("c", i)
+		f.submit(id, 0)
+		f.advance(f.now + 10*ms)
+		for j := range i + 1 { // held ones go out later
+			id := fmt.Sprint("c", j)
+			for ; answered[id] < len(f.sent[id]); answered[id]++ {
+				sent[f.sent[id][answered[id]]]++
+				f.result(id, answered[id], Failed)
+			}
+		}
+	}
+	for id, n := range sent {
+		// At 30 to 37% of 20 a second at most 8, and one saved up.
+		if n > 9 {
+			t.Errorf("cold %s was sent %d in its first second", id, n)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("nothing is sent to a fleet that is all cold")
+	}
+}
--- /dev/null
+++ b/cmd/plumplank/main.go
@@ -0,0 +1,57 @@
+// Command plumplank is one real proxy: it takes callers' requests and sends them to the backends that its
+// lemonflow balancer picks.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"lemonflow/internal/proxy"
+	"lemonflow/internal/settings"
+)
+
+// heapShare of the memory limit is where the collector stops saving work: what sockets hold in the kernel,
+// thread stacks and the program itself need the rest.
+const heapShare = 0.75
+
+func main() {
+	if err := run(os.Getenv); err != nil {
+		fmt.Fprintln(os.Stderr, "plumplank:", err)
+		os.Exit(1)
+	}
+}
+
+func run(getenv func(string) string) error {
+	c, err := readConfig(getenv)
+	if err != nil {
+		return err
+	}
+	memory := int64(c.Limits.MemoryMB * (1 << 20))
+	debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+
+	log := slog.New(newLimitedHandler(slog.NewTextHandler(os.Stderr, nil))).With("name", c.Name)
+	slog.SetDefault(log) // for what net/http has to say too
+
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	p, err := proxy.New(proxy.Config{
+		Listen: c.Listen, Discovery: c.Discovery, Seed: c.seed, Settings: s, Known: c.Known,
+		Memory: memory, Sockets: c.Limits.Sockets, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return p.Serve(ctx)
+}
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,36 @@
+package lemonflow_test
+
+import (
+	"fmt"
+	"time"
+
+	"lemonflow"
+)
+
+// printHost prints what a proxy would do.
+type printHost struct{}
+
+func (printHost) Send(id, server string, _ time.Duration) { fmt.Println("send", id, "to", server) }
+func (printHost) Refuse(id string)                        { fmt.Println("refuse", id) }
+func (printHost) Fail(id string)                          { fmt.Println("fail", id) }
+func (printHost) Cancel(string, int)                      {}
+func (printHost) SetTimer(time.Duration, uint64)          {}
+func (printHost) Watch()                                  {}
+func (printHost) Log(string)                              {}
+
+func Example() {
+	settings := lemonflow.Settings{
+		Instances:   1,
+		MaxAttempts: 3,
+		Classes:     []lemonflow.Class{{Aim: time.Second, GiveUp: 2 * time.Second, Worth: 1}},
+	}
+	b, err := lemonflow.New(settings, 42, printHost{})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	b.Update(0, lemonflow.Full, []lemonflow.Entry{{ID: "10.0.0.1:80"}})
+	b.Submit(time.Millisecond, lemonflow.Request{ID: "r1", Left: time.Second})
+	b.Result(9*time.Millisecond, lemonflow.Result{ID: "r1", Outcome: lemonflow.OK, Finished: true})
+	// Output: send r1 to 10.0.0.1:80
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,349 @@
+// Package wire speaks the batch dialect of JSON in which a host feeds events to many balancer instances
+// and reads their actions. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"lemonflow"
+	"lemonflow/internal/settings"
+)
+
+// maxLine bounds one batch; a fleet's lists run to megabytes.
+const maxLine = 1 << 30
+
+// Serve reads batches until the input ends and answers each with one line.
+func Serve(in io.Reader, out io.Writer) error {
+	sc := bufio.NewScanner(in)
+	sc.Buffer(make([]byte, 1<<20), maxLine)
+	w := bufio.NewWriterSize(out, 1<<16)
+	s := &session{instances: map[int]*instance{}, lists: map[int][]lemonflow.Entry{}}
+	for line := 1; sc.Scan(); line++ {
+		reply, err := s.batch(sc.Bytes())
+		if err != nil {
+			return fmt.Errorf("line %d: %w", line, err)
+		}
+		if _, err := w.Write(reply); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	return sc.Err()
+}
+
+type session struct {
+	instances map[int]*instance
+	lists     map[int][]lemonflow.Entry
+	out       []byte
+}
+
+// instance hosts one balancer; its actions are appended to the session's reply.
+type instance struct {
+	s      *session
+	who    int
+	b      *lemonflow.Balancer
+	broken bool
+}
+
+func (s *session) batch(line []byte) ([]byte, error) {
+	var in struct {
+		Clock *float64            `json:"clock_ms"`
+		Inbox [][]json.RawMessage `json:"inbox"`
+	}
+	if err := json.Unmarshal(line, &in); err != nil {
+		return nil, err
+	}
+	if in.Clock == nil {
+		return nil, errors.New("batch without clock_ms")
+	}
+	s.out = append(s.out[:0], `{"do":[`...)
+	now := settings.Millis(*in.Clock)
+	for i, ev := range in.Inbox {
+		if err := s.event(now, ev); err != nil {
+			return nil, fmt.Errorf("event %d: %w", i, err)
+		}
+	}
+	if s.out[len(s.out)-1] == ',' {
+		s.out = s.out[:len(s.out)-1]
+	}
+	s.out = append(s.out, "]}\n"...)
+	return s.out, nil
+}
+
+func (s *session) event(now time.Duration, ev []json.RawMessage) error {
+	a := args{fields: ev}
+	name := a.str("name")
+	if name == "list" {
+		table := a.int("table")
+		s.lists[table] = a.entries("members")
+		return a.err
+	}
+	who := a.int("who")
+	if a.err != nil {
+		return a.err
+	}
+	if name == "open_instance" {
+		return s.open(who, &a)
+	}
+	inst := s.instances[who]
+	if inst == nil {
+		return fmt.Errorf("%s for instance %d, which is not open", name, who)
+	}
+	if name == "teardown" {
+		delete(s.instances, who)
+		return nil
+	}
+	call, err := decode(name, &a, s.lists)
+	if err != nil {
+		return err
+	}
+	inst.run(func(b *lemonflow.Balancer) { call(b, now) })
+	return nil
+}
+
+// decode reads the event's values and returns the call they stand for.
+func decode(name string, a *args, lists map[int][]lemonflow.Entry) (func(*lemonflow.Balancer, time.Duration), error) {
+	var call func(*lemonflow.Balancer, time.Duration)
+	switch name {
+	case "submit":
+		r := lemonflow.Request{ID: a.str("tid")}
+		a.skip(3) // item, write, retry: no decision rests on them
+		r.Tenant = a.optInt("client_group")
+		r.Left = a.dur("patience_left_ms")
+		a.skip(1) // cost_guess_ms
+		r.Class = a.int("category")
+		call = func(b *lemonflow.Balancer, now time.Duration) { b.Submit(now, r) }
+	case "response":
+		r := lemonflow.Result{ID: a.str("tid"), Attempt: a.int("attempt")}
+		a.skip(1) // backend: known from the attempt
+		rc := a.str("rc")
+		var known bool
+		if r.Outcome, known = outcomes[rc]; !known && a.err == nil {
+			return nil, fmt.Errorf("unknown outcome %q", rc)
+		}
+		r.Latency = a.dur("delay_seen_ms")
+		r.Finished = a.bool("finished")
+		call = func(b *lemonflow.Balancer, now time.Duration) { b.Result(now, r) }
+	case "head_received":
+		id, attempt := a.str("tid"), a.int("attempt")
+		call = func(b *lemonflow.Balancer, now time.Duration) { b.Started(now, id, attempt) }
+	case "dropped":
+		id := a.str("tid")
+		call = func(b *lemonflow.Balancer, now time.Duration) { b.Dropped(now, id) }
+	case "ring":
+		token := a.uint("nonce")
+		call = func(b *lemonflow.Balancer, now time.Duration) { b.Timer(now, token) }
+	case "update":
+		kindName := a.str("kind")
+		kind, known := listKinds[kindName]
+		if !known && a.err == nil {
+			return nil, fmt.Errorf("unknown kind of update %q", kindName)
+		}
+		var entries []lemonflow.Entry
+		if kind != lemonflow.ListFailed {
+			a.skip(1) // generation: updates come in order
+			table := a.int("table")
+			if entries, known = lists[table]; !known && a.err == nil {
+				return nil, fmt.Errorf("update names list %d, which was never sent", table)
+			}
+		}
+		call = func(b *lemonflow.Balancer, now time.Duration) { b.Update(now, kind, entries) }
+	case "probe_done", "mail":
+		// Answers to what this module never asks for.
+		call = func(*lemonflow.Balancer, time.Duration) {}
+	default:
+		return nil, fmt.Errorf("unknown event %q", name)
+	}
+	return call, a.err
+}
+
+var outcomes = map[string]lemonflow.Outcome{
+	"Ok": lemonflow.OK, "Failed": lemonflow.Failed, "QueueFull": lemonflow.QueueFull,
+	"TimedOut": lemonflow.TimedOut, "ConnectError": lemonflow.ConnectError,
+	"ResetByPeer": lemonflow.Reset, "Canceled": lemonflow.Canceled, "Ignored": lemonflow.Ignored,
+}
+
+var listKinds = map[string]lemonflow.ListKind{
+	"delta": lemonflow.Delta, "full": lemonflow.Full, "cached": lemonflow.Cached, "failed": lemonflow.ListFailed,
+}
+
+var states = map[string]lemonflow.State{
+	"in_service": lemonflow.InService, "terminating": lemonflow.Draining, "terminated": lemonflow.Gone,
+}
+
+func (s *session) open(who int, a *args) error {
+	seed := a.uint("prng")
+	if a.err != nil {
+		return a.err
+	}
+	profile, err := settings.Read(a.raw("profile_data"))
+	if err != nil {
+		return fmt.Errorf("profile_data: %w", err)
+	}
+	inst := &instance{s: s, who: who}
+	if inst.b, err = lemonflow.New(profile.Balancer, seed, inst); err != nil {
+		return err
+	}
+	s.instances[who] = inst
+	return nil
+}
+
+// run turns a panic of the module into a broken action: the day ends with its text, not the process.
+func (i *instance) run(call func(*lemonflow.Balancer)) {
+	if i.broken {
+		return
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			i.broken = true
+			i.begin("broken")
+			i.text(fmt.Sprint(p))
+			i.end()
+		}
+	}()
+	call(i.b)
+}
+
+func (i *instance) begin(name string) {
+	i.s.out = append(i.s.out, '[', '"')
+	i.s.out = append(i.s.out, name...)
+	i.s.out = append(i.s.out, '"', ',')
+	i.s.out = strconv.AppendInt(i.s.out, int64(i.who), 10)
+}
+
+func (i *instance) end() { i.s.out = append(i.s.out, ']', ',') }
+
+func (i *instance) text(s string) {
+	quoted, _ := json.Marshal(s) // a string always marshals
+	i.s.out = append(append(i.s.out, ','), quoted...)
+}
+
+func (i *instance) ms(d time.Duration) {
+	i.s.out = strconv.AppendFloat(append(i.s.out, ','), float64(d)/float64(time.Millisecond), 'f', 3, 64)
+}
+
+// Send starts an attempt.
+func (i *instance) Send(id, server string, timeout time.Duration) {
+	i.begin("relay")
+	i.text(id)
+	i.text(server)
+	i.ms(timeout)
+	i.end()
+}
+
+// Refuse turns a request away.
+func (i *instance) Refuse(id string) { i.final("decline", id, ",0") }
+
+// Fail ends a request without a promise.
+func (i *instance) Fail(id string) { i.final("abort", id, "") }
+
+func (i *instance) final(name, id, rest string) {
+	i.begin(name)
+	i.text(id)
+	i.s.out = append(i.s.out, rest...)
+	i.end()
+}
+
+// Cancel calls an attempt off.
+func (i *instance) Cancel(id string, attempt int) {
+	i.final("abandon", id, ","+strconv.Itoa(attempt))
+}
+
+// SetTimer asks for a ring.
+func (i *instance) SetTimer(delay time.Duration, token uint64) {
+	i.begin("set_timer")
+	i.ms(delay)
+	i.s.out = strconv.AppendUint(append(i.s.out, ','), token, 10)
+	i.end()
+}
+
+// Watch subscribes to the list.
+func (i *instance) Watch() {
+	i.begin("follow")
+	i.s.out = append(i.s.out, ",true"...)
+	i.end()
+}
+
+// Log writes a line for people.
+func (i *instance) Log(line string) {
+	i.begin("log")
+	i.text(line)
+	i.end()
+}
+
+// args reads a message's values in order and keeps the first error.
+type args struct {
+	fields []json.RawMessage
+	at     int
+	err    error
+}
+
+func (a *args) raw(name string) json.RawMessage {
+	if a.err != nil {
+		return nil
+	}
+	if a.at >= len(a.fields) {
+		a.err = fmt.Errorf("value %q is missing", name)
+		return nil
+	}
+	a.at++
+	return a.fields[a.at-1]
+}
+
+func (a *args) skip(n int) { a.at += n }
+
+func (a *args) read(name string, into any, optional bool) {
+	v := a.raw(name)
+	if a.err != nil {
+		return
+	}
+	if string(v) == "null" {
+		if !optional {
+			a.err = fmt.Errorf("value %q is null", name)
+		}
+		return
+	}
+	if err := json.Unmarshal(v, into); err != nil {
+		a.err = fmt.Errorf("value %q: %w", name, err)
+	}
+}
+
+func (a *args) str(name string) (v string)        { a.read(name, &v, false); return v }
+func (a *args) int(name string) (v int)           { a.read(name, &v, false); return v }
+func (a *args) optInt(name string) (v int)        { a.read(name, &v, true); return v }
+func (a *args) uint(name string) (v uint64)       { a.read(name, &v, false); return v }
+func (a *args) bool(name string) (v bool)         { a.read(name, &v, true); return v }
+func (a *args) float(name string) (v float64)     { a.read(name, &v, true); return v }
+func (a *args) dur(name string) (v time.Duration) { return settings.Millis(a.float(name)) }
+
+func (a *args) entries(name string) []lemonflow.Entry {
+	var rows [][]json.RawMessage
+	a.read(name, &rows, false)
+	list := make([]lemonflow.Entry, 0, len(rows))
+	for _, row := range rows {
+		r := args{fields: row, err: a.err}
+		e := lemonflow.Entry{ID: r.str("backend"), Zone: r.int("locality")}
+		r.skip(1) // shape: decisions rest on what is observed, not on the kind's name
+		e.Cell = r.int("stripe")
+		state := r.str("lifecycle")
+		var known bool
+		if e.State, known = states[state]; !known && r.err == nil {
+			r.err = fmt.Errorf("unknown lifecycle %q", state)
+		}
+		r.skip(1) // size: turns are even, and the cap finds who is slow
+		e.Boot = r.dur("boot_time_ms")
+		if a.err = r.err; a.err != nil {
+			return nil
+		}
+		list = append(list, e)
+	}
+	return list
+}
--- /dev/null
+++ b/types.go
@@ -0,0 +1,174 @@
+package lemonflow
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Effect says what running a request more than once would do.
+type Effect int
+
+// The effects of a class.
+const (
+	Free       Effect = iota // may run, and be refused, any number of times
+	Guarded                  // repeats are dropped by the servers of one group, within a window
+	SingleShot               // must never run twice
+)
+
+// Group says which servers drop the repeats of a Guarded request.
+type Group int
+
+// The groups of servers that share what they know of repeats.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// State is what the server list says of a server.
+type State int
+
+// The states of a server in a list.
+const (
+	InService State = iota
+	Draining        // finishing its work; nothing new may go to it
+	Gone            // removed; seen only among changes
+)
+
+// ListKind says how an Update's entries relate to the list already held.
+type ListKind int
+
+// The kinds of list update.
+const (
+	Delta      ListKind = iota // only the entries that changed
+	Full                       // the whole list; who is missing is gone
+	Cached                     // the whole list as last seen before a restart, maybe stale
+	ListFailed                 // a Watch failed or its subscription dropped; no entries
+)
+
+// Outcome is how one attempt ended.
+type Outcome int
+
+// The outcomes of an attempt. QueueFull, ConnectError and Ignored prove that it never ran.
+const (
+	OK Outcome = iota
+	Failed
+	QueueFull
+	TimedOut
+	ConnectError
+	Reset
+	Canceled
+	Ignored
+)
+
+// ProvesUnrun reports whether the outcome proves that the attempt had no effect.
+func (o Outcome) ProvesUnrun() bool {
+	return o == QueueFull || o == ConnectError || o == Ignored
+}
+
+// Entry is one server in a list.
+type Entry struct {
+	ID    string
+	Zone  int
+	Cell  int
+	State State
+	Boot  time.Duration // clock time of its last start; 0 means long ago
+}
+
+// Class describes one class of requests.
+type Class struct {
+	Aim       time.Duration // an answer after this is worth only LateWorth
+	GiveUp    time.Duration // how long a client waits over all its tries
+	Effect    Effect
+	Group     Group
+	Window    time.Duration // how long a Guarded repeat is dropped, from the first send that might have run
+	Worth     float64
+	LateWorth float64 // share of Worth that an answer after Aim still earns
+}
+
+// Tenant describes one tenant; QuotaPerSecond holds for all instances together.
+type Tenant struct {
+	QuotaPerSecond float64
+}
+
+// Settings is all that an instance is told at its start. The zero value of a limit is taken literally.
+type Settings struct {
+	Self      int // own number, 0 to Instances-1
+	Instances int // instances of this tier
+	Layer     int // the tier sent to; 0 is the one that clients reach
+	Classes   []Class
+	Tenants   []Tenant
+
+	OverShareWorth float64 // worth of a request beyond its tenant's quota, as a share of its class's
+	MaxAttempts    int
+	CanCancel      bool
+	AskForList     bool          // the list comes only to who watches it
+	AskEvery       time.Duration // without a watch, this long after asking one counts as told
+
+	ColdFrom     float64 // a server starts with at least this share of its capacity
+	WarmUp       time.Duration
+	FallMultiple float64 // a cold server sent this many times its capacity for FallTime falls over
+	FallTime     time.Duration
+}
+
+// Validate reports the first thing in the settings that cannot be.
+func (s *Settings) Validate() error {
+	switch {
+	case s.Instances < 1:
+		return fmt.Errorf("settings: %d instances", s.Instances)
+	case s.Self < 0 || s.Self >= s.Instances:
+		return fmt.Errorf("settings: own number %d is outside 0..%d", s.Self, s.Instances-1)
+	case len(s.Classes) == 0:
+		return errors.New("settings: no request classes")
+	case s.MaxAttempts < 1:
+		return fmt.Errorf("settings: at most %d attempts", s.MaxAttempts)
+	case s.ColdFrom < 0 || s.ColdFrom > 1 || s.WarmUp < 0 || s.FallTime < 0 || s.FallMultiple < 0:
+		return errors.New("settings: impossible figures for cold servers")
+	}
+	for i, c := range s.Classes {
+		if c.Effect < Free || c.Effect > SingleShot || c.Group < GroupAll || c.Group > GroupCell {
+			return fmt.Errorf("settings: class %d has an unknown effect or group", i)
+		}
+		if c.Aim <= 0 || c.GiveUp <= 0 || c.Window < 0 || c.Worth < 0 {
+			return fmt.Errorf("settings: class %d has impossible times or worth", i)
+		}
+	}
+	return nil
+}
+
+// Request is one request as it arrives. ID is never used again.
+type Request struct {
+	ID     string
+	Class  int
+	Tenant int
+	Left   time.Duration // until the client gives this try up
+}
+
+// Result is how one attempt ended. Finished is set when the request is over, by this outcome or earlier.
+type Result struct {
+	ID       string
+	Attempt  int
+	Outcome  Outcome
+	Latency  time.Duration
+	Finished bool
+}
+
+// Host carries out what an instance decides, in the order of the calls, at the time of the event being
+// handled. It must not call back into the Balancer from within a call.
+type Host interface {
+	// Send starts the next attempt of a request; attempts count from 0. It ends in one Result.
+	Send(id, server string, timeout time.Duration)
+	// Refuse is a final answer that lets the client try again without harm.
+	Refuse(id string)
+	// Fail is a final answer without any promise.
+	Fail(id string)
+	// Cancel stops waiting for an attempt; its Result still comes.
+	Cancel(id string, attempt int)
+	// SetTimer asks for one Timer event with this token.
+	SetTimer(delay time.Duration, token uint64)
+	// Watch subscribes to changes of the server list; one Update answers it.
+	Watch()
+	// Log adds a line for people to read.
+	Log(line string)
+}
