--- a/balancer.go
+++ b/balancer.go
@@ -43,6 +43,10 @@
 	costQuantile, tailQuantile, quantileStep, minCost = 0.25, 0.95, 0.1, 0.001
 	// patienceSlack is by how much less patience than the longest shows a client's last tries.
 	patienceSlack = 5 * time.Millisecond
+	// patienceKept and patienceRank: see patience.
+	patienceKept, patienceRank = 16, 4
+	// stayLeast is the shortest wait that a refused client is told, less chance.
+	stayLeast = 100 * time.Millisecond
 	// vacantShare of the places may be empty before the list is sorted anew.
 	vacantShare = 0.5
 	// watchWarn failed watches in a row are told to people.
@@ -87,6 +91,7 @@
 	over     bool
 	canceled bool
 	unrun    bool // proven never to have run
+	unsent   bool // never sent, for want of something of ours
 }
 
 // request is one accepted request until its last attempt has ended.
@@ -119,12 +124,12 @@
 	requests map[string]*request
 	held     []*request // by worth for the time they take, then by age
 	holding  bool
-	inFlight int             // requests with an attempt out
-	limit    float64         // how many of them are admitted
-	tail     []quantile      // by class, the time after which an attempt is late for its class
-	cost     []quantile      // by class, a low quantile of its answers' seconds, which waiting distorts least
-	patience []time.Duration // by class, the longest that a client has waited
-	quota    []bucket        // by tenant
+	inFlight int        // requests with an attempt out
+	limit    float64    // how many of them are admitted
+	tail     []quantile // by class, the time after which an attempt is late for its class
+	cost     []quantile // by class, a low quantile of its answers' seconds, which waiting distorts least
+	patience []patience // by class, how long a client's try may take
+	quota    []bucket   // by tenant
 	retries  float64
 	served   rate // requests answered in time by servers
 
@@ -143,7 +148,7 @@
 		servers: map[string]*server{}, requests: map[string]*request{},
 		timers: map[uint64]func(time.Duration){}, retries: retryBurst / 2, limit: limitFirst,
 		cost: make([]quantile, len(settings.Classes)), tail: make([]quantile, len(settings.Classes)),
-		patience: make([]time.Duration, len(settings.Classes)),
+		patience: make([]patience, len(settings.Classes)),
 		quota:    make([]bucket, len(settings.Tenants)),
 	}, nil
 }
@@ -154,7 +159,7 @@
 		return
 	}
 	if r.Class < 0 || r.Class >= len(b.set.Classes) {
-		b.host.Refuse(r.ID) // no effect to fear, and no request may be lost
+		b.host.Refuse(r.ID, 0) // no effect to fear, and no request may be lost
 		return
 	}
 	c := &b.set.Classes[r.Class]
@@ -163,18 +168,18 @@
 	useful := b.useful(now, q)
 	if useful <= 0 {
 		// A client's repeat that comes too late to earn anything: sending it on would be waste.
-		b.answer(q)
+		b.answer(now, q)
 		return
 	}
 	q.worth = c.Worth * b.tenantWorth(now, r.Tenant)
 	b.retries = min(b.retries+retryRatio, retryBurst)
-	b.after(q.end-now, func(time.Duration) { b.giveUp(q) })
+	b.after(q.end-now, func(now time.Duration) { b.giveUp(now, q) })
 	b.hold(q)
 	b.retryHeld(now)
 	if q.held {
-		b.after(min(time.Duration(holdShare*float64(c.Aim)), r.Left/2), func(time.Duration) {
+		b.after(min(time.Duration(holdShare*float64(c.Aim)), r.Left/2), func(now time.Duration) {
 			if q.held && !q.answered {
-				b.answer(q)
+				b.answer(now, q)
 			}
 		})
 		b.keepHolding()
@@ -191,8 +196,7 @@
 	}
 	// A first try has all the patience of a try; who has less is at the end of its client's patience.
 	aim := c.Aim
-	b.patience[q.Class] = max(b.patience[q.Class], q.Left)
-	if q.Left < b.patience[q.Class]-patienceSlack {
+	if q.Left < b.patience[q.Class].usual()-patienceSlack {
 		aim -= c.GiveUp - q.Left
 	}
 	if c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll {
@@ -204,9 +208,12 @@
 // tenantWorth is what a tenant's next request is worth: less beyond its quota, of which each instance
 // counts its own part. It orders requests only while there is no room for all.
 func (b *Balancer) tenantWorth(now time.Duration, tenant int) float64 {
-	if tenant < 0 || tenant >= len(b.quota) {
+	if len(b.quota) == 0 {
 		return 1
 	}
+	if tenant < 0 || tenant >= len(b.quota) {
+		return b.set.OverShareWorth // nobody's quota
+	}
 	perSecond := b.set.Tenants[tenant].QuotaPerSecond / float64(b.set.Instances)
 	if b.quota[tenant].take(now, perSecond, perSecond*quotaBurst.Seconds()) {
 		return 1
@@ -236,6 +243,7 @@
 	late := r.Latency > time.Duration(lateShare*float64(q.class.Aim))
 	if r.Outcome == OK {
 		b.cost[q.Class].observe(r.Latency, costQuantile)
+		b.patience[q.Class].observe(q.Left)
 	}
 	if tail := &b.tail[q.Class]; r.Outcome == OK || *tail > 0 && r.Latency.Seconds() > float64(*tail) {
 		tail.observe(r.Latency, tailQuantile)
@@ -355,7 +363,7 @@
 
 // tried says whether an attempt of the request has gone to s: what went wrong there may do so again.
 func (q *request) tried(s *server) bool {
-	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.s == s })
+	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.s == s && !a.unsent })
 }
 
 // allows keeps the rule on effects for a further send: it may go to s only if no attempt may have run, or
@@ -390,7 +398,7 @@
 		return
 	}
 	a := &q.attempts[r.Attempt]
-	a.over, a.unrun = true, r.Outcome.ProvesUnrun()
+	a.over, a.unrun, a.unsent = true, r.Outcome.ProvesUnrun(), r.Outcome == Ignored
 	a.s.track(now)
 	a.s.inFlight--
 	q.out--
@@ -403,7 +411,14 @@
 		q.answered = true
 	}
 	if !q.answered && !q.started && q.out == 0 {
-		b.tryAgain(now, q)
+		switch r.Outcome {
+		case Ignored:
+			b.tryLater(now, q)
+		case Rejected:
+			b.finish(now, q, false) // it would be turned away elsewhere too
+		default:
+			b.tryAgain(now, q)
+		}
 	} else if r.Finished {
 		b.cancelOut(q)
 	}
@@ -421,16 +436,32 @@
 			return
 		}
 	}
-	b.answer(q)
+	b.answer(now, q)
+}
+
+// tryLater follows an attempt that was never sent because this instance was short of something, sockets
+// mostly. It says nothing about the server and spends no retry; at once it would only fail again.
+func (b *Balancer) tryLater(now time.Duration, q *request) {
+	if now+holdStep >= q.end || len(q.attempts) >= b.set.MaxAttempts {
+		b.answer(now, q)
+		return
+	}
+	b.after(holdStep, func(now time.Duration) {
+		if !q.answered {
+			b.hold(q)
+			b.retryHeld(now)
+			b.keepHolding()
+		}
+	})
 }
 
 // answer ends a request unserved: refused where that promise can be kept, failed otherwise.
-func (b *Balancer) answer(q *request) { b.finish(q, q.refusable()) }
+func (b *Balancer) answer(now time.Duration, q *request) { b.finish(now, q, q.refusable()) }
 
-func (b *Balancer) finish(q *request, refuse bool) {
+func (b *Balancer) finish(now time.Duration, q *request, refuse bool) {
 	q.answered = true
 	if refuse {
-		b.host.Refuse(q.ID)
+		b.host.Refuse(q.ID, b.stayAway(now))
 	} else {
 		b.host.Fail(q.ID)
 	}
@@ -464,7 +495,7 @@
 func (b *Balancer) judge(now time.Duration, s *server, o Outcome) {
 	failed := 0.0
 	switch o {
-	case Canceled, Ignored:
+	case Canceled, Ignored, Rejected:
 		s.trial = false
 		return
 	case OK:
@@ -538,10 +569,11 @@
 	}
 }
 
-// Dropped takes in that the client has gone.
+// Dropped takes in that the client has gone. What is out for it would run for nobody.
 func (b *Balancer) Dropped(now time.Duration, id string) {
 	if q := b.requests[id]; q != nil {
 		q.answered = true
+		b.cancelOut(q)
 		b.forget(q)
 	}
 }
@@ -758,6 +790,40 @@
 	}
 }
 
+// stayAway is how long a refused client should wait: until what is held now has had its turn, at random so
+// that those refused together do not come back together. 0 where clients are not told.
+func (b *Balancer) stayAway(now time.Duration) time.Duration {
+	if !b.set.RetryAfter {
+		return 0
+	}
+	wait := b.set.MaxRetryAfter // nothing gets served, so nothing tells when that will change
+	if perSecond := b.served.at(now); perSecond > 0 {
+		turn := float64(len(b.held)+b.inFlight+1) / perSecond
+		wait = time.Duration(min(turn*float64(time.Second), float64(wait)))
+	}
+	wait = max(wait, min(stayLeast, b.set.MaxRetryAfter))
+	return time.Duration((0.5 + 0.5*b.random()) * float64(wait))
+}
+
+// patience follows how long a class's clients wait on a try. Only served requests count, and of the last
+// patienceKept of these the patienceRank-longest: a few callers who claim to wait far longer than all others
+// would otherwise make everybody's first try look like a last one.
+type patience struct {
+	last [patienceKept]time.Duration
+	next int
+}
+
+func (p *patience) observe(left time.Duration) {
+	p.last[p.next] = left
+	p.next = (p.next + 1) % patienceKept
+}
+
+func (p *patience) usual() time.Duration {
+	sorted := p.last
+	slices.Sort(sorted[:])
+	return sorted[patienceKept-patienceRank]
+}
+
 // rate is a smoothed count of events a second.
 type rate struct {
 	per  float64
@@ -826,10 +892,10 @@
 }
 
 // giveUp gives the final answer that is due when the client stops waiting.
-func (b *Balancer) giveUp(q *request) {
+func (b *Balancer) giveUp(now time.Duration, q *request) {
 	if !q.answered && !q.started {
 		// Too late to be of use: a refusal would invite the client to spend more on it.
-		b.finish(q, false)
+		b.finish(now, q, false)
 	}
 }
 
--- a/cmd/plumplank/config.go
+++ b/cmd/plumplank/config.go
@@ -23,7 +23,26 @@
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
-	seed uint64
+	seed          uint64
+	fileDiscovery string // discovery as the file names it
+}
+
+// reload reads the file again and returns where discovery is now, or "" if the file names no other place than it
+// did. The variables no longer count: they are from before the file was replaced. All else in the file holds
+// from the next start on.
+func (c *config) reload(getenv func(string) string) (string, error) {
+	next, err := readFile(getenv)
+	if err != nil {
+		return "", err
+	}
+	if _, _, err := net.SplitHostPort(next.Discovery); err != nil {
+		return "", fmt.Errorf("discovery: %q: %w", next.Discovery, err)
+	}
+	if next.Discovery == c.fileDiscovery {
+		return "", nil
+	}
+	c.fileDiscovery = next.Discovery
+	return next.Discovery, nil
 }
 
 // Figures for a limit that the configuration does not state.
@@ -33,8 +52,8 @@
 	defaultSockets  = 1024
 )
 
-// readConfig names the variable or field of whatever it cannot take.
-func readConfig(getenv func(string) string) (*config, error) {
+// readFile reads the file that RELAY_CONFIG names.
+func readFile(getenv func(string) string) (*config, error) {
 	path := getenv("RELAY_CONFIG")
 	if path == "" {
 		return nil, errors.New("RELAY_CONFIG: not set")
@@ -48,6 +67,16 @@
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
+	return c, nil
+}
+
+// readConfig names the variable or field of whatever it cannot take.
+func readConfig(getenv func(string) string) (*config, error) {
+	c, err := readFile(getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.fileDiscovery = c.Discovery
 	for name, field := range map[string]*string{
 		"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen, "RELAY_DISCOVERY": &c.Discovery,
 	} {
--- a/cmd/plumplank/main.go
+++ b/cmd/plumplank/main.go
@@ -29,6 +29,11 @@
 }
 
 func run(getenv func(string) string) error {
+	// From here on, for a SIGHUP that nobody waits for ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+
 	c, err := readConfig(getenv)
 	if err != nil {
 		return err
@@ -53,5 +58,27 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go reloads(ctx, hangups, log, func() (string, error) { return c.reload(getenv) }, p.MoveDiscovery)
 	return p.Serve(ctx)
 }
+
+// reloads answers each SIGHUP with a look at the configuration's file. One that cannot be read or makes no sense
+// is logged, and all stays as it is.
+func reloads(ctx context.Context, hangups <-chan os.Signal, log *slog.Logger, reload func() (string, error), move func(string)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		switch discovery, err := reload(); {
+		case err != nil:
+			log.Error("reload: the new configuration is ignored", "error", err)
+		case discovery == "":
+			log.Info("reload: discovery stays where it is")
+		default:
+			log.Info("reload: discovery moves", "address", discovery)
+			move(discovery)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/backend_test.go
@@ -0,0 +1,90 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// TestSpoiltAnswersAreFailedAttempts has one backend answer so at first; a request that is free to repeat is
+// then served by the next, and one that must not run twice fails.
+func TestSpoiltAnswersAreFailedAttempts(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, spoilt := range map[string]string{
+		"noise":                 "\x00\x01\x02 noise\r\n\r\n",
+		"no length, no chunks":  ok + "\r\npart of it",
+		"length over 64 KiB":    ok + "Content-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20),
+		"chunks over 64 KiB":    ok + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("x", 4096)+"\r\n", 20) + "0\r\n\r\n",
+		"length and chunks":     ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+		"broken chunks":         ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+		"head that stops":       ok + "Content-Le",
+		"body that stops":       ok + "Content-Length: 9\r\n\r\nabcd",
+		"head without end":      ok + "X-Pad: " + strings.Repeat("p", 64<<10),
+		"interim without end":   strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 200),
+		"length that is no one": ok + "Content-Length: ten\r\n\r\nabcd",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bad := newBackend(t, "127.0.0.1:0", func(string) string { return spoilt })
+			good := newBackend(t, "127.0.0.1:0", whole)
+			g := newRig(t, nil, host("s1", bad.address, "up"), host("s2", good.address, "up"))
+			c := g.dial()
+			for i := range 2 { // in turn, so one of them meets the spoilt answer first
+				id := fmt.Sprint("r", i)
+				if status, body := c.send(head(id)).answer(); status != 200 || body != id {
+					t.Fatalf("%d %q", status, body)
+				}
+			}
+			await(t, "the request that was spoilt", bad.requests)
+			await(t, "the close of its connection", bad.gone)
+		})
+		t.Run(name+", once", func(t *testing.T) {
+			t.Parallel()
+			bad := newBackend(t, "127.0.0.1:0", func(string) string { return spoilt })
+			g := newRig(t, nil, host("s1", bad.address, "up"))
+			status, _ := g.dial().send(strings.Replace(strings.Replace(head("a"), "search", "once", 1), "GET", "POST", 1)).answer()
+			if status != 502 {
+				t.Fatalf("answered %d", status)
+			}
+		})
+	}
+}
+
+func TestGoodAnswersWithMoreThanBelongsToThem(t *testing.T) {
+	for name, reply := range map[string]func(string) string{
+		"second copy":   func(id string) string { return whole(id) + whole(id) },
+		"noise behind":  func(id string) string { return whole(id) + "\x00noise" },
+		"interim ahead": func(id string) string { return strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 3) + whole(id) },
+		"chunks": func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(id), id)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, "127.0.0.1:0", reply)
+			c := newRig(t, nil, host("s1", b.address, "up")).dial()
+			for i := range 20 {
+				id := fmt.Sprint("r", i)
+				if status, body := c.send(head(id)).answer(); status != 200 || body != id {
+					t.Fatalf("request %s: %d %q", id, status, body)
+				}
+			}
+		})
+	}
+}
+
+// TestNewServerAtAnOldAddressGetsNewConnections replaces a server by another at the same address.
+func TestNewServerAtAnOldAddressGetsNewConnections(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", whole)
+	g := newRig(t, nil, host("old", b.address, "up"))
+	go g.discovery.follow(g.watching)
+	c := g.dial()
+	c.send(head("a")).answer()
+	await(t, "the first connection", b.conns)
+	g.registry.lists <- list(2, true, host("new", b.address, "up"))
+	await(t, "the close of what was held to the old server", b.gone)
+	if status, _ := c.send(head("b")).answer(); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+	await(t, "the connection to the new server", b.conns)
+}
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -2,23 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
 )
 
-const (
-	// maxBody is the largest body that the protocol knows.
-	maxBody = 32 << 20
-	// chunk is how much of a body is taken into memory at a time. A body kept in chunks never has to be
-	// moved to a larger place, which would need room for it twice.
-	chunk = 64 << 10
-	// maxDiscard is how much of a body that cannot be kept is still read, so that its sender gets to the
-	// point of reading the answer.
-	maxDiscard = 2 * maxBody
-)
+// maxBody is the longest body that the protocol knows, of a request and of an answer alike. Whoever sends more
+// is not worth the memory: the rest is neither kept nor read.
+const maxBody = 64 << 10
 
 var (
-	errTooLarge = errors.New("body over 32 MB")
+	errTooLarge = errors.New("body over 64 KiB")
 	errNoRoom   = errors.New("no memory for the body")
 )
 
@@ -33,12 +27,12 @@
 	return true
 }
 
+func (b *budget) give(n int64) { b.left.Add(n) }
+
 // body is a request's body, read whole before anything is sent: an attempt may have to be repeated, and a
 // request's clock starts at its last byte.
 type body struct {
-	chunks [][]byte
-	length int64
-	held   int64 // what is taken from the budget
+	data   []byte
 	budget *budget
 }
 
@@ -46,72 +40,46 @@
 	if b == nil {
 		return 0
 	}
-	return b.length
+	return int64(len(b.data))
 }
 
 func (b *body) release() {
 	if b != nil {
-		b.budget.left.Add(b.held)
-		b.held = 0
+		b.budget.give(int64(len(b.data)))
+		b.data = nil
 	}
 }
 
-// readBody reads r to its end, also when it cannot be kept; length is -1 where it is not announced.
+// readBody reads r to its end; length is -1 where it is not announced. The memory is taken from the budget
+// before the first byte is read, for as much as may come.
 func readBody(r io.Reader, length int64, budget *budget) (*body, error) {
 	if length == 0 {
 		return nil, nil
 	}
 	if length > maxBody {
-		return nil, discardBody(r, errTooLarge)
+		return nil, errTooLarge
 	}
-	b := &body{budget: budget}
-	for {
-		size := int64(chunk)
-		if length > 0 {
-			size = min(size, length-b.length)
-		}
-		if size == 0 {
-			// All that was announced is here. The read that meets the end tells net/http to watch
-			// for the caller's leaving.
-			_, err := io.Copy(io.Discard, r)
-			return b, b.orRelease(err)
-		}
-		if !budget.take(size) {
-			b.release()
-			return nil, discardBody(r, errNoRoom)
-		}
-		b.held += size
-		piece := make([]byte, size)
-		n, err := io.ReadFull(r, piece)
-		if n > 0 {
-			if n < len(piece)/2 {
-				piece = append([]byte(nil), piece[:n]...) // the last of unknown length is mostly small
-			}
-			b.chunks = append(b.chunks, piece[:n])
-			b.length += int64(n)
-		}
-		switch {
-		case b.length > maxBody:
-			b.release()
-			return nil, discardBody(r, errTooLarge)
-		case err == io.EOF && length < 0, err == io.ErrUnexpectedEOF && length < 0:
-			return b, nil
-		case err != nil:
-			return nil, b.orRelease(err)
-		}
+	most := length
+	if most < 0 {
+		most = maxBody
 	}
-}
-
-func (b *body) orRelease(err error) error {
-	if err != nil {
-		b.release()
+	if !budget.take(most) {
+		return nil, errNoRoom
 	}
-	return err
-}
-
-func discardBody(r io.Reader, cause error) error {
-	if _, err := io.CopyN(io.Discard, r, maxDiscard); err != nil && err != io.EOF {
-		return err
+	// A buffer that grows with what has come costs a sender that announces much and sends nothing its own
+	// time and none of our memory. The read that meets the end also tells net/http to watch for the
+	// caller's leaving.
+	data, err := io.ReadAll(io.LimitReader(r, most+1))
+	switch {
+	case err != nil:
+		err = fmt.Errorf("body: %w", err)
+	case int64(len(data)) > most:
+		err = errTooLarge
+	}
+	if err != nil {
+		budget.give(most)
+		return nil, err
 	}
-	return cause
+	budget.give(most - int64(len(data)))
+	return &body{data: data, budget: budget}, nil
 }
--- /dev/null
+++ b/internal/proxy/framing.go
@@ -0,0 +1,90 @@
+package proxy
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// framing follows where messages begin and end in what one side of a connection sends, and notes the one thing
+// that net/http hides: a head with both Content-Length and Transfer-Encoding. net/http drops the length and
+// goes by the chunks; whoever goes by the length sees the next message begin elsewhere, so that a request can
+// stand inside the body of another (RFC 9112, section 6.1). It only looks on: net/http still reads the message
+// and turns away what is malformed.
+//
+// It guards against that smuggling, and should also catch other heads that it reads in another way than
+// net/http: it follows no further than the first message with a transfer coding, and what it has not plainly
+// seen to be framed by chunks alone is not taken as such. It might turn away a sound chunked message whose
+// head is written in a way that net/http reads and this does not.
+type framing struct {
+	line   [64]byte // how the line at hand begins
+	filled int
+	start  bool // the start line has been read
+	next   bool // an answer with a 1xx status: another head follows
+
+	hasLength, hasCoding bool
+	length               int64 // the body's, as announced
+	skip                 int64 // bytes of a body that are still to come
+	lost                 bool  // it follows no longer
+	chunked              bool  // the message with which it stopped has chunks and no length
+}
+
+var (
+	lengthField = []byte("content-length")
+	codingField = []byte("transfer-encoding")
+)
+
+// feed takes in the bytes that came next.
+func (f *framing) feed(b []byte) {
+	for len(b) > 0 && !f.lost {
+		if f.skip > 0 {
+			n := min(f.skip, int64(len(b)))
+			f.skip -= n
+			b = b[n:]
+			continue
+		}
+		end := bytes.IndexByte(b, '\n')
+		part := b
+		if end >= 0 {
+			part = b[:end]
+		}
+		f.filled += copy(f.line[f.filled:], part)
+		if end < 0 {
+			return
+		}
+		b = b[end+1:]
+		f.endLine(bytes.TrimSuffix(f.line[:f.filled], []byte("\r")))
+		f.filled = 0
+	}
+}
+
+func (f *framing) endLine(line []byte) {
+	if len(line) == 0 {
+		f.endHead()
+		return
+	}
+	if !f.start {
+		f.start = true
+		f.next = bytes.HasPrefix(line, []byte("HTTP/1.1 1"))
+		return
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch name = bytes.TrimSpace(name); {
+	case bytes.EqualFold(name, lengthField):
+		f.hasLength = true
+		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if f.length = n; err != nil || n < 0 {
+			f.lost = true
+		}
+	case bytes.EqualFold(name, codingField):
+		f.hasCoding = true
+	}
+}
+
+func (f *framing) endHead() {
+	f.lost = f.lost || f.hasCoding
+	f.chunked = f.hasCoding && !f.hasLength
+	if !f.next {
+		f.skip = f.length
+	}
+	f.start, f.next, f.hasLength, f.hasCoding, f.length = false, false, false, false, 0
+}
--- a/internal/proxy/instance.go
+++ b/internal/proxy/instance.go
@@ -32,8 +32,8 @@
 // final is the one answer that a request gets.
 type final struct {
 	verdict verdict
-	reply   *reply // of a served request
-	attempt *attempt
+	reply   *reply        // of a served request
+	wait    time.Duration // for how long a refused caller is asked to stay away; 0 for no advice
 }
 
 // request is one request from its submission until it is answered and its last attempt has ended. Its life is
@@ -44,7 +44,6 @@
 	attempts []*attempt
 	out      int
 	answered bool
-	gone     bool       // its caller has left
 	final    chan final // takes exactly one, without blocking
 }
 
@@ -52,7 +51,7 @@
 type attempt struct {
 	request *request
 	number  int
-	address string
+	to      endpoint
 	sent    time.Duration
 	end     time.Duration // when the proxy stops waiting
 	ctx     context.Context
@@ -73,14 +72,14 @@
 	balancer *lemonflow.Balancer
 	requests map[string]*request
 	lastID   uint64
-	address  map[string]string // where to dial each server of the list
-	listed   bool              // a list with servers is held
+	address  map[string]endpoint // of each server that the list has in service
+	listed   bool                // a list with servers is held
 }
 
 func newInstance(settings lemonflow.Settings, seed uint64, backends *pool, log *slog.Logger) (*instance, error) {
 	i := &instance{
 		started: time.Now(), backends: backends, log: log,
-		requests: map[string]*request{}, address: map[string]string{},
+		requests: map[string]*request{}, address: map[string]endpoint{},
 	}
 	i.unix = time.Duration(i.started.UnixNano())
 	var err error
@@ -104,15 +103,15 @@
 	return q
 }
 
-// drop tells the balancer that a request's caller has gone. What ends the caller's sending may be a closed
-// connection or half of one, so an attempt that is still out may yet answer it.
+// drop tells the balancer that a request's caller has gone: callers give a request up by closing the connection
+// or ending their sending on it. What is still out for it is called off.
 func (i *instance) drop(q *request) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if q.answered {
 		return
 	}
-	q.gone = true
+	q.answer(final{verdict: failed})
 	i.balancer.Dropped(i.now(), q.id)
 	i.tidy(q)
 }
@@ -129,9 +128,6 @@
 
 // tidy forgets a request that is over.
 func (i *instance) tidy(q *request) {
-	if q.gone && q.out == 0 {
-		q.answer(final{verdict: failed})
-	}
 	if q.answered && q.out == 0 {
 		delete(i.requests, q.id)
 		q.message.body.release()
@@ -140,36 +136,17 @@
 
 // run carries an attempt out.
 func (i *instance) run(a *attempt) {
-	outcome, r := i.backends.exchange(a.ctx, a.address, a.request.message, func() (time.Duration, bool) {
+	outcome, r := i.backends.exchange(a.ctx, a.to, a.request.message, func() (time.Duration, bool) {
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		left := a.end - i.now()
-		return left, left > 0 && !a.request.answered && a.ctx.Err() == nil
+		// While the connection came up, the list may have said that the server drains or is gone.
+		listed := i.address[a.to.server] == a.to
+		return left, listed && left > 0 && !a.request.answered && a.ctx.Err() == nil
 	})
-	if r != nil && r.rest != nil {
-		i.commit(a, r)
-		return
-	}
 	i.end(a, outcome, r)
 }
 
-// commit gives a long answer to the caller as it comes. From here on it has no deadline.
-func (i *instance) commit(a *attempt, r *reply) {
-	i.mu.Lock()
-	if a.timer.Stop() && a.ctx.Err() == nil && a.request.answer(final{served, r, a}) {
-		i.balancer.Started(i.now(), a.request.id, a.number)
-		i.mu.Unlock()
-		return
-	}
-	i.mu.Unlock()
-	r.rest.Close()
-	outcome := lemonflow.Canceled
-	if a.ctx.Err() != nil {
-		outcome = endedOutcome(a.ctx)
-	}
-	i.end(a, outcome, nil)
-}
-
 // end tells the balancer how an attempt ended, and first answers the request if that served it.
 func (i *instance) end(a *attempt, outcome lemonflow.Outcome, r *reply) {
 	i.mu.Lock()
@@ -179,11 +156,11 @@
 	q := a.request
 	q.out--
 	if outcome == lemonflow.OK && r != nil {
-		q.answer(final{served, r, a})
+		q.answer(final{verdict: served, reply: r})
 	}
 	now := i.now()
 	i.balancer.Result(now, lemonflow.Result{
-		ID: q.id, Attempt: a.number, Outcome: outcome, Latency: now - a.sent, Finished: q.answered || q.gone,
+		ID: q.id, Attempt: a.number, Outcome: outcome, Latency: now - a.sent, Finished: q.answered,
 	})
 	i.tidy(q)
 }
@@ -195,22 +172,23 @@
 		clear(i.address)
 	}
 	for _, e := range entries {
-		if e.State == lemonflow.Gone {
+		if address := addresses[e.ID]; e.State == lemonflow.InService && address != "" {
+			i.address[e.ID] = endpoint{e.ID, address, e.Boot}
+		} else {
 			delete(i.address, e.ID)
-		} else if address := addresses[e.ID]; address != "" {
-			i.address[e.ID] = address
 		}
 	}
 	i.listed = i.listed || len(i.address) > 0
-	wanted := make(map[string]bool, len(i.address))
-	for _, address := range i.address {
-		wanted[address] = true
+	wanted := make(map[endpoint]bool, len(i.address))
+	for _, to := range i.address {
+		wanted[to] = true
 	}
-	i.balancer.Update(i.now(), kind, entries)
-	i.mu.Unlock()
 	if kind != lemonflow.ListFailed {
+		// Within the lock, so that two updates cannot pass each other.
 		i.backends.keep(wanted)
 	}
+	i.balancer.Update(i.now(), kind, entries)
+	i.mu.Unlock()
 }
 
 // ready says whether there is a server to send to.
@@ -224,7 +202,7 @@
 func (i *instance) Send(id, server string, timeout time.Duration) {
 	q := i.requests[id]
 	now := i.now()
-	a := &attempt{request: q, number: len(q.attempts), address: i.address[server], sent: now, end: now + timeout}
+	a := &attempt{request: q, number: len(q.attempts), to: i.address[server], sent: now, end: now + timeout}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.timer = time.AfterFunc(timeout, func() { a.cancel(errTimedOut) })
 	q.attempts = append(q.attempts, a)
@@ -237,14 +215,16 @@
 }
 
 // Refuse answers a request so that trying again is harmless.
-func (i *instance) Refuse(id string) { i.decide(id, refused) }
+func (i *instance) Refuse(id string, wait time.Duration) {
+	i.decide(id, final{verdict: refused, wait: wait})
+}
 
 // Fail answers a request without a promise.
-func (i *instance) Fail(id string) { i.decide(id, failed) }
+func (i *instance) Fail(id string) { i.decide(id, final{verdict: failed}) }
 
-func (i *instance) decide(id string, v verdict) {
+func (i *instance) decide(id string, f final) {
 	if q := i.requests[id]; q != nil {
-		q.answer(final{verdict: v})
+		q.answer(f)
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"lemonflow"
@@ -34,17 +35,40 @@
 	// callerShare and backendShare of the other sockets are for each side. A request uses one of each, and
 	// callers' connections that are only there to be refused need a few more.
 	callerShare, crowdShare, backendShare = 0.46, 0.54, 0.46
-	// bodyShare of the memory may hold callers' bodies. The rest is for answers (heldAnswer for each
-	// backend connection at most), connections and the collector's slack.
-	bodyShare = 0.36
+	// bodyShare of the memory may hold callers' bodies. The rest is for answers (maxBody for each backend
+	// connection at most), connections and the collector's slack.
+	bodyShare = 0.25
+	// kernelShare of the memory bounds what all sockets may hold in the kernel, where it counts as ours and
+	// the collector does not see it. Left alone, one connection's buffers grow to megabytes.
+	kernelShare = 0.2
+	// A socket's buffer is no smaller than leastBuffer, which the kernel would not go below by much, and
+	// needs to be no larger than mostBuffer, which takes a whole body.
+	leastBuffer, mostBuffer = 8 << 10, 64 << 10
 )
 
+// socketBuffers returns a hook that bounds the kernel's buffers of a socket, and of those that a listener accepts.
+func socketBuffers(memory int64, sockets int) func(network, address string, c syscall.RawConn) error {
+	// The kernel doubles what is asked for, to leave room for its own records.
+	size := int(kernelShare * float64(memory) / float64(4*max(sockets, 1)))
+	size = min(max(size, leastBuffer), mostBuffer)
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		control := c.Control(func(fd uintptr) {
+			for _, option := range []int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
+				err = errors.Join(err, syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, size))
+			}
+		})
+		return errors.Join(control, err)
+	}
+}
+
 // Proxy is one proxy.
 type Proxy struct {
 	listener  *roomyListener
 	server    *server
 	discovery *discovery
 	http      *http.Server
+	watching  context.Context
 	stop      context.CancelFunc // of the watch
 	log       *slog.Logger
 }
@@ -59,7 +83,9 @@
 		return nil, fmt.Errorf("settings: limits.conn_idle_ms: %v is not above 0", s.ConnIdle)
 	}
 	sockets := float64(c.Sockets - reservedSockets)
+	buffers := socketBuffers(c.Memory, c.Sockets)
 	backends := newPool(int(backendShare*sockets), s.ConnectTimeout, s.ConnIdle)
+	backends.dialer.Control = buffers
 	i, err := newInstance(s.Balancer, c.Seed, backends, c.Log)
 	if err != nil {
 		return nil, err
@@ -72,7 +98,7 @@
 	}
 	p.discovery = newDiscovery(c.Discovery, s.Zones, c.Log)
 	p.discovery.update = i.update
-	l, err := net.Listen("tcp", c.Listen)
+	l, err := (&net.ListenConfig{Control: buffers}).Listen(context.Background(), "tcp", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -83,18 +109,18 @@
 		IdleTimeout:       idleWait,
 		MaxHeaderBytes:    maxHead,
 		ConnState:         callers.track,
+		ConnContext:       withCaller,
 		ErrorLog:          slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug),
 	}
-	var watching context.Context
-	watching, p.stop = context.WithCancel(context.Background())
-	i.watch = func() { go p.discovery.watch(watching) }
+	p.watching, p.stop = context.WithCancel(context.Background())
+	i.watch = func() { go p.discovery.watch(p.watching) }
 	if err := p.known(c.Known); err != nil {
 		p.stop()
 		l.Close()
 		return nil, err
 	}
 	if !s.Balancer.AskForList {
-		go p.discovery.follow(watching)
+		go p.discovery.follow(p.watching)
 	}
 	return p, nil
 }
@@ -114,6 +140,9 @@
 	return nil
 }
 
+// MoveDiscovery goes over to discovery at another address, while serving with the list that is held.
+func (p *Proxy) MoveDiscovery(address string) { p.discovery.move(p.watching, address) }
+
 // Addr is where the proxy listens.
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,241 @@
+package proxy
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lemonflow"
+	"lemonflow/internal/settings"
+)
+
+// patient is how long a test waits for an event that must come.
+const patient = 20 * time.Second
+
+// await fails the test if the event does not come.
+func await[T any](t *testing.T, what string, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patient):
+		t.Fatalf("%s did not come", what)
+		panic("unreachable")
+	}
+}
+
+// backend is a server on a loopback socket whose every answer the test writes itself.
+type backend struct {
+	address  string
+	requests chan string // the ids that came, in order
+	conns    chan string // the remote address of each connection
+	gone     chan string // the same once its other side has closed
+}
+
+// newBackend answers each request with what reply returns for its id, byte for byte; "" is silence.
+func newBackend(t *testing.T, address string, reply func(id string) string) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{l.Addr().String(), make(chan string, 100), make(chan string, 100), make(chan string, 100)}
+	var mu sync.Mutex
+	var open []net.Conn
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range open {
+			c.Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			b.conns <- c.RemoteAddr().String()
+			go b.serve(c, reply)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(c net.Conn, reply func(string) string) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			b.gone <- c.RemoteAddr().String()
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		id := req.Header.Get(idField)
+		b.requests <- id
+		io.WriteString(c, reply(id))
+	}
+}
+
+// whole is a sound answer that names the request it belongs to.
+func whole(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+}
+
+// registry is discovery: the test says what each call is answered with.
+type registry struct {
+	address string
+	calls   chan string // their queries
+	lists   chan string // answers; a call waits for one
+}
+
+func newRegistry(t *testing.T) *registry {
+	t.Helper()
+	g := &registry{calls: make(chan string, 100), lists: make(chan string, 100)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.address = l.Addr().String()
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.calls <- r.URL.RawQuery
+		select {
+		case list := <-g.lists:
+			io.WriteString(w, list)
+		case <-r.Context().Done():
+		}
+	})}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return g
+}
+
+func host(id, address, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"kita","block":1,"health":%q}`, id, address, health)
+}
+
+func list(seq int, full bool, hosts ...string) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":%t,"hosts":[%s]}`, seq, full, strings.Join(hosts, ","))
+}
+
+// rig is a running proxy.
+type rig struct {
+	t *testing.T
+	*Proxy
+	registry *registry
+	address  string
+}
+
+// newRig starts a proxy that knows the given hosts, with settings that change may alter.
+func newRig(t *testing.T, change func(*Config), hosts ...string) *rig {
+	t.Helper()
+	g := newRegistry(t)
+	c := Config{
+		Listen: "127.0.0.1:0", Discovery: g.address, Seed: 1, Memory: 64 << 20, Sockets: 256,
+		Known: json.RawMessage(list(1, true, hosts...)), Log: slog.New(slog.DiscardHandler),
+		Settings: &settings.Settings{
+			Balancer: lemonflow.Settings{
+				Instances: 1, MaxAttempts: 3, CanCancel: true,
+				Classes: []lemonflow.Class{
+					{Aim: 10 * time.Second, GiveUp: 15 * time.Second, Worth: 1},
+					{
+						Aim: 10 * time.Second, GiveUp: 15 * time.Second, Worth: 1,
+						Effect: lemonflow.Guarded, Group: lemonflow.GroupZone, Window: 10 * time.Second,
+					},
+					{Aim: 10 * time.Second, GiveUp: 15 * time.Second, Worth: 1, Effect: lemonflow.SingleShot},
+				},
+			},
+			Classes: []string{"search", "hold", "once"}, Tenants: nil, Zones: []string{"kita"},
+			ConnIdle: 10 * time.Second, ConnectTimeout: 5 * time.Second,
+		},
+	}
+	if change != nil {
+		change(&c)
+	}
+	p, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- p.http.Serve(p.listener) }()
+	t.Cleanup(func() {
+		p.stop()
+		p.http.Close()
+		<-done
+	})
+	return &rig{t, p, g, p.Addr().String()}
+}
+
+// caller is one connection of a caller, as a test sees it.
+type testCaller struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func (g *rig) dial() *testCaller {
+	g.t.Helper()
+	c, err := net.Dial("tcp", g.address)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patient))
+	return &testCaller{g.t, c, bufio.NewReader(c)}
+}
+
+// head is a GET's head with the fields that the protocol asks for.
+func head(id string) string {
+	return "GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: " + id + "\r\nX-Lane: search\r\nX-Remaining-Ms: 9000\r\n\r\n"
+}
+
+func (c *testCaller) send(text string) *testCaller {
+	io.WriteString(c, text) // where the proxy has closed, reading tells
+	return c
+}
+
+// answer reads one answer, or what there is of it; its status is 0 if the connection ended before the head.
+func (c *testCaller) answer() (status int, body string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		if e, ok := err.(net.Error); ok && e.Timeout() {
+			c.t.Fatal("neither an answer nor a close")
+		}
+		return 0, ""
+	}
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// closed waits for the proxy to close the connection.
+func (c *testCaller) closed() {
+	c.t.Helper()
+	if _, err := c.r.ReadByte(); err == nil {
+		c.t.Fatal("bytes where a close was due")
+	} else if e, ok := err.(net.Error); ok && e.Timeout() {
+		c.t.Fatal("the connection stays open")
+	}
+}
+
+func TestServesARequest(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", whole)
+	c := newRig(t, nil, host("s1", b.address, "up")).dial()
+	for _, id := range []string{"a", "b"} {
+		if status, body := c.send(head(id)).answer(); status != 200 || body != id {
+			t.Fatalf("%d %q", status, body)
+		}
+	}
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,14 +18,18 @@
 )
 
 const (
-	// headWait is how long a caller may take for a request's head; 2 s are legal.
-	headWait = 15 * time.Second
-	// idleWait is how long a caller's connection may idle.
-	idleWait = 2 * time.Minute
-	// progressWait is how long a caller may neither send nor take a byte in the middle of a body.
-	progressWait = 30 * time.Second
+	// headWait is how long a caller may take for a request's head, and how long its connection may stay
+	// silent at first. It and bodyWait together stay below the 3 s after which a bad caller is owed a word.
+	headWait = 2 * time.Second
+	// bodyWait is how long the body behind a head may take: 64 KiB at most, which callers send at once.
+	bodyWait = 700 * time.Millisecond
+	// idleWait is how long a caller's connection may idle. Many callers ask once and keep their connection
+	// for good; each costs a descriptor, buffers and a goroutine.
+	idleWait = 3 * time.Second
+	// writeWait is how long a caller may leave its answer untaken.
+	writeWait = 2 * time.Second
 	// maxHead bounds a request's head.
-	maxHead = 32 << 10
+	maxHead = 16 << 10
 )
 
 // hopByHop are the headers that concern one connection only, and those that the proxy writes itself.
@@ -39,18 +45,21 @@
 	callers  *callers
 	classes  map[string]int
 	tenants  map[string]int
-	giveUp   []time.Duration // by class
+	class    []lemonflow.Class
 	leaving  *leaving
+
+	mu   sync.Mutex
+	open map[string]struct{} // the ids of the requests that are not answered yet
 }
 
 func newServer(s *settings.Settings, i *instance, bodies *budget, callers *callers) *server {
 	srv := &server{
 		instance: i, bodies: bodies, callers: callers,
-		classes: map[string]int{}, tenants: map[string]int{}, leaving: &leaving{},
+		classes: map[string]int{}, tenants: map[string]int{}, class: s.Balancer.Classes,
+		leaving: &leaving{}, open: map[string]struct{}{},
 	}
 	for n, name := range s.Classes {
 		srv.classes[name] = n
-		srv.giveUp = append(srv.giveUp, s.Balancer.Classes[n].GiveUp)
 	}
 	for n, name := range s.Tenants {
 		srv.tenants[name] = n
@@ -66,44 +75,51 @@
 		s.health(w)
 		return
 	}
-	body, err := s.readBody(w, r)
-	switch {
-	case errors.Is(err, errTooLarge):
-		w.Header().Set("Connection", "close")
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	case errors.Is(err, errNoRoom):
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	case err != nil:
-		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+	ask, err := s.read(r)
+	if err != nil {
+		turnAway(w, http.StatusBadRequest, err)
 		return
 	}
-	switch {
-	case r.Header.Get("X-Txn") == "":
-		body.release()
-		http.Error(w, "no X-Txn", http.StatusBadRequest)
+	if !s.begin(ask.id) {
+		turnAway(w, http.StatusConflict, fmt.Errorf("%s: a request with this id is open", idField))
 		return
-	case s.callers.crowded():
+	}
+	defer s.finish(ask.id)
+	if s.callers.crowded() {
 		// All sockets are busy. The request was never sent, so trying again is harmless.
-		body.release()
-		w.Header().Set("Connection", "close")
-		http.Error(w, "too many connections", http.StatusServiceUnavailable)
+		turnAway(w, http.StatusServiceUnavailable, errors.New("too many connections"))
 		return
 	}
-	s.serve(w, r, body)
+	body, err := s.readBody(w, r)
+	switch {
+	case errors.Is(err, errTooLarge):
+		turnAway(w, http.StatusRequestEntityTooLarge, err)
+	case errors.Is(err, errNoRoom):
+		turnAway(w, http.StatusServiceUnavailable, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		turnAway(w, http.StatusRequestTimeout, err)
+	case err != nil:
+		turnAway(w, http.StatusBadRequest, err)
+	default:
+		s.serve(w, r, ask, body)
+	}
 }
 
-func (s *server) serve(w http.ResponseWriter, r *http.Request, body *body) {
-	class, known := s.classes[r.Header.Get("X-Lane")]
-	if !known {
-		class = -1 // the balancer refuses it
-	}
-	tenant, known := s.tenants[r.Header.Get("X-Org")]
-	if !known {
-		tenant = -1 // the balancer serves it without a quota
+// turnAway answers a request that is not taken on, and ends its connection: what else stands on it may be a body
+// that nobody has read. net/http still reads some of that, and would wait for a body that never comes.
+func turnAway(w http.ResponseWriter, status int, err error) {
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(leftoverWait))
+	control.SetWriteDeadline(time.Now().Add(writeWait))
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request, ask ask, body *body) {
+	if r.TransferEncoding != nil {
+		w.Header().Set("Connection", "close") // framing does not follow it past the chunks
 	}
-	q := s.instance.submit(newMessage(r, body), class, tenant, s.leaving.cap(s.remaining(r, class)))
+	q := s.instance.submit(newMessage(r, body), ask.class, ask.tenant, s.leaving.cap(ask.left))
 	var f final
 	select {
 	case f = <-q.final:
@@ -114,45 +130,107 @@
 	s.answer(w, f)
 }
 
-func (s *server) health(w http.ResponseWriter) {
-	if s.leaving.yes() || !s.instance.ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+// begin notes a request's id until finish, unless a request with that id is open.
+func (s *server) begin(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.open[id]; open {
+		return false
 	}
+	s.open[id] = struct{}{}
+	return true
 }
 
-// readBody reads the request to its last byte.
-func (s *server) readBody(w http.ResponseWriter, r *http.Request) (*body, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
+func (s *server) finish(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, id)
+}
+
+// The protocol's fields that the proxy goes by.
+const (
+	idField        = "X-Txn"
+	classField     = "X-Lane"
+	tenantField    = "X-Org"
+	remainingField = "X-Remaining-Ms"
+	keyField       = "Idempotency-Key"
+)
+
+// ask is what a request's head asks for.
+type ask struct {
+	id            string
+	class, tenant int
+	left          time.Duration
+}
+
+// read takes a request's head, or says what is wrong with it. Nothing in it is guessed: a deadline or class made
+// up for a caller that sends nonsense would reach the backends, and the balancer would learn from it.
+func (s *server) read(r *http.Request) (ask, error) {
+	var a ask
+	for _, field := range []string{idField, classField, tenantField, remainingField, keyField} {
+		if len(r.Header[field]) > 1 {
+			return a, fmt.Errorf("%s: given more than once", field)
+		}
 	}
-	paced := &pacedReader{r.Body, http.NewResponseController(w)}
-	b, err := readBody(paced, r.ContentLength, s.bodies)
-	// A deadline left standing would later look as if the caller had gone.
-	paced.SetReadDeadline(time.Time{})
-	return b, err
+	if r.TransferEncoding != nil && !callerOf(r).framing.chunked {
+		return a, errors.New("both Content-Length and Transfer-Encoding")
+	}
+	if a.id = r.Header.Get(idField); a.id == "" {
+		return a, fmt.Errorf("%s: missing", idField)
+	}
+	var known bool
+	if a.class, known = s.classes[r.Header.Get(classField)]; !known {
+		return a, fmt.Errorf("%s: unknown class %q", classField, r.Header.Get(classField))
+	}
+	if a.tenant, known = s.tenants[r.Header.Get(tenantField)]; !known {
+		a.tenant = -1 // the balancer has no quota for it
+	}
+	ms, err := strconv.ParseInt(r.Header.Get(remainingField), 10, 64)
+	if err != nil {
+		return a, fmt.Errorf("%s: %q is no whole number", remainingField, r.Header.Get(remainingField))
+	}
+	a.left = min(settings.Millis(float64(ms)), s.class[a.class].GiveUp)
+	return a, s.fits(r, s.class[a.class].Effect)
 }
 
-// pacedReader ends a body whose sender has stopped, however long the whole may take.
-type pacedReader struct {
-	io.Reader
-	*http.ResponseController
+// fits says whether a request's method, key and body are those of its class.
+func (s *server) fits(r *http.Request, effect lemonflow.Effect) error {
+	method, keyed := http.MethodPost, effect == lemonflow.Guarded
+	if effect == lemonflow.Free {
+		method = http.MethodGet
+	}
+	switch {
+	case r.Method != method:
+		return fmt.Errorf("%s does not fit the class, %s does", r.Method, method)
+	case keyed && r.Header.Get(keyField) == "":
+		return fmt.Errorf("%s: missing, though the class needs it", keyField)
+	case !keyed && r.Header[keyField] != nil:
+		return fmt.Errorf("%s: given, though the class has none", keyField)
+	case method == http.MethodGet && r.ContentLength != 0:
+		return errors.New("a GET has no body")
+	}
+	return nil
 }
 
-func (p *pacedReader) Read(b []byte) (int, error) {
-	p.SetReadDeadline(time.Now().Add(progressWait))
-	return p.Reader.Read(b)
+func (s *server) health(w http.ResponseWriter) {
+	if s.leaving.yes() || !s.instance.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
-// remaining is how long the caller will wait: what it says, within what its class ever waits.
-func (s *server) remaining(r *http.Request, class int) time.Duration {
-	if class < 0 {
-		return 0
+// readBody reads the request to its last byte.
+func (s *server) readBody(w http.ResponseWriter, r *http.Request) (*body, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
 	}
-	ms, err := strconv.ParseFloat(r.Header.Get("X-Remaining-Ms"), 64)
-	if err != nil || ms != ms {
-		return s.giveUp[class]
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyWait))
+	b, err := readBody(r.Body, r.ContentLength, s.bodies)
+	if err == nil {
+		// A deadline left standing would later look as if the caller had gone.
+		control.SetReadDeadline(time.Time{})
 	}
-	return min(settings.Millis(ms), s.giveUp[class])
+	return b, err
 }
 
 func newMessage(r *http.Request, body *body) *message {
@@ -179,61 +257,31 @@
 
 // answer writes the one final answer.
 func (s *server) answer(w http.ResponseWriter, f final) {
-	control := http.NewResponseController(w)
-	control.SetWriteDeadline(time.Now().Add(progressWait))
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
+	header := w.Header()
 	if s.leaving.yes() {
-		w.Header().Set("Connection", "close")
+		header.Set("Connection", "close")
 	}
 	switch f.verdict {
 	case refused:
+		if f.wait > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(f.wait.Seconds(), 'f', 3, 64))
+		}
 		http.Error(w, "refused: trying again is harmless", http.StatusServiceUnavailable)
 		return
 	case failed:
 		http.Error(w, "failed", http.StatusBadGateway)
 		return
 	}
-	header := w.Header()
 	for name, values := range endToEnd(f.reply.header) {
 		header[name] = values
 	}
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // keeps net/http from guessing
 	}
-	if f.reply.length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(f.reply.length, 10))
-	}
+	header.Set("Content-Length", strconv.Itoa(len(f.reply.body)))
 	w.WriteHeader(http.StatusOK)
-	_, err := w.Write(f.reply.body)
-	if f.reply.rest != nil {
-		s.pass(w, control, f, err)
-	}
-}
-
-// pass gives a long answer to the caller as it comes from the backend. If it breaks, so must the caller's
-// connection: an end that looks regular would make a part pass for the whole.
-func (s *server) pass(w http.ResponseWriter, control *http.ResponseController, f final, err error) {
-	outcome := lemonflow.Canceled // the caller has gone, until shown otherwise
-	buffer := make([]byte, streamBuffer)
-	for err == nil {
-		if err = control.Flush(); err != nil {
-			break
-		}
-		n, readErr := f.reply.rest.Read(buffer)
-		control.SetWriteDeadline(time.Now().Add(progressWait))
-		if _, err = w.Write(buffer[:n]); err != nil {
-			break
-		}
-		if err = readErr; err == io.EOF {
-			outcome = lemonflow.OK
-		} else if err != nil {
-			outcome = lemonflow.Reset
-		}
-	}
-	f.reply.rest.Close()
-	s.instance.end(f.attempt, outcome, nil)
-	if outcome != lemonflow.OK {
-		panic(http.ErrAbortHandler)
-	}
+	w.Write(f.reply.body)
 }
 
 // leaving is a planned restart. It starts with SIGTERM; SIGKILL follows no sooner than the callers' longest
@@ -265,79 +313,140 @@
 	return left
 }
 
-// callers tracks the callers' connections within their share of the sockets. Up to soft all are served;
-// beyond, idle ones are closed first and then new requests are refused; at hard, new connections wait to be
-// accepted until one is closed.
+// callers tracks the callers' connections within their share of the sockets. Up to soft all are kept. Beyond,
+// each new one takes the place of one on which no request is open, and where there is none, requests are
+// refused; at hard, new connections are closed at once.
+//
+// It guards against callers that connect and say nothing or keep what they no longer use, and should hold
+// against any pile of idle connections: a newcomer always gets in or gets a close, so the accept queue
+// never stands still. It would harm callers who pause for over silentGrace before a first request while so
+// many others do the same.
 type callers struct {
 	soft, hard int
 
-	mu    sync.Mutex
-	freed *sync.Cond
-	conns map[net.Conn]*caller
+	mu     sync.Mutex
+	open   map[*caller]struct{}
+	active int
 }
 
+// silentGrace is how long a connection may stay silent before it goes first when room is wanted. Callers connect
+// when they have something to send.
+const silentGrace = 100 * time.Millisecond
+
+// caller is one connection of a caller.
 type caller struct {
+	net.Conn
+	callers *callers
+	framing framing // of what it sends; used by the one that reads
+
+	// Guarded by callers.mu.
 	state http.ConnState
 	since time.Time
+	busy  bool // something has been read since the last answer
+	ended bool
 }
 
+type callerKey struct{}
+
+// withCaller is the server's ConnContext hook.
+func withCaller(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, c)
+}
+
+func callerOf(r *http.Request) *caller { return r.Context().Value(callerKey{}).(*caller) }
+
 func newCallers(soft, hard int) *callers {
-	c := &callers{soft: soft, hard: hard, conns: map[net.Conn]*caller{}}
-	c.freed = sync.NewCond(&c.mu)
-	return c
+	return &callers{soft: soft, hard: hard, open: map[*caller]struct{}{}}
 }
 
-// track is the server's ConnState hook.
-func (c *callers) track(conn net.Conn, state http.ConnState) {
+// admit takes a new connection in, or nil if there is no place for it.
+func (c *callers) admit(conn net.Conn) *caller {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch state {
-	case http.StateClosed, http.StateHijacked:
-		delete(c.conns, conn)
+	if len(c.open) >= c.soft && !c.makeRoom() && len(c.open) >= c.hard {
+		return nil
+	}
+	k := &caller{Conn: conn, callers: c, since: time.Now()}
+	c.open[k] = struct{}{}
+	return k
+}
+
+// makeRoom ends the connection that is missed least: the one that has been silent longest from the start, or
+// else has idled longest.
+func (c *callers) makeRoom() bool {
+	var silent, idle *caller
+	for k := range c.open {
+		switch {
+		case k.busy:
+		case k.state == http.StateNew && (silent == nil || k.since.Before(silent.since)):
+			silent = k
+		case k.state == http.StateIdle && (idle == nil || k.since.Before(idle.since)):
+			idle = k
+		}
+	}
+	switch {
+	case silent != nil && time.Since(silent.since) >= silentGrace:
+		c.end(silent)
+	case idle != nil:
+		c.end(idle)
 	default:
-		c.conns[conn] = &caller{state, time.Now()}
+		return false
 	}
-	if state != http.StateActive {
-		c.freed.Signal()
+	return true
+}
+
+// end closes a connection on which no request is open; c.mu must be held. What the caller may have sent
+// meanwhile has not been read, so it may be sent again.
+func (c *callers) end(k *caller) {
+	k.ended = true
+	c.forget(k)
+	k.Conn.Close()
+}
+
+func (c *callers) forget(k *caller) {
+	if _, open := c.open[k]; open {
+		delete(c.open, k)
+		if k.state == http.StateActive {
+			c.active--
+		}
 	}
 }
 
-// makeRoom closes the connection that has idled longest once soft is reached, and waits at hard.
-func (c *callers) makeRoom() {
+// track is the server's ConnState hook.
+func (c *callers) track(conn net.Conn, state http.ConnState) {
+	k := conn.(*caller)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.conns) >= c.soft {
-		var oldest net.Conn
-		for conn, k := range c.conns {
-			if k.state == http.StateIdle && (oldest == nil || k.since.Before(c.conns[oldest].since)) {
-				oldest = conn
-			}
-		}
-		if oldest != nil {
-			delete(c.conns, oldest)
-			oldest.Close()
-			return
-		}
-		if len(c.conns) < c.hard {
-			return
-		}
-		c.freed.Wait()
+	if state == http.StateClosed || state == http.StateHijacked {
+		c.forget(k)
+		return
+	}
+	if _, open := c.open[k]; !open || k.state == state {
+		return
 	}
+	if k.state == http.StateActive {
+		c.active--
+	}
+	if state == http.StateActive {
+		c.active++
+	}
+	k.state, k.since, k.busy = state, time.Now(), state == http.StateActive
 }
 
+// crowded says whether there are more open requests than sockets for them.
 func (c *callers) crowded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.conns) > c.soft
+	return c.active > c.soft
 }
 
 // closeQuiet closes the connections on which no request has begun for so long, and counts the others.
 func (c *callers) closeQuiet(quiet time.Duration) (busy int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, k := range c.conns {
-		if k.state != http.StateActive && time.Since(k.since) >= quiet {
-			conn.Close()
+	for k := range c.open {
+		if !k.busy && time.Since(k.since) >= quiet {
+			c.end(k)
 		} else {
 			busy++
 		}
@@ -345,7 +454,25 @@
 	return busy
 }
 
-// roomyListener accepts only what there is room for.
+// Read marks the connection as busy with the first byte that is read, not only when net/http has a whole head:
+// a request that has been read must not be taken for one that the caller may send again.
+func (k *caller) Read(b []byte) (int, error) {
+	n, err := k.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	k.callers.mu.Lock()
+	ended := k.ended
+	k.busy = true
+	k.callers.mu.Unlock()
+	if ended {
+		return 0, net.ErrClosed
+	}
+	k.framing.feed(b[:n])
+	return n, err
+}
+
+// roomyListener accepts only what there is room for, and closes the rest at once.
 type roomyListener struct {
 	net.Listener
 	callers  *callers
@@ -353,8 +480,15 @@
 }
 
 func (l *roomyListener) Accept() (net.Conn, error) {
-	l.callers.makeRoom()
-	conn, err := l.Listener.Accept()
-	l.accepted.Store(time.Now().UnixNano())
-	return conn, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.accepted.Store(time.Now().UnixNano())
+		if k := l.callers.admit(conn); k != nil {
+			return k, nil
+		}
+		conn.Close()
+	}
 }
--- /dev/null
+++ b/internal/proxy/server_test.go
@@ -0,0 +1,186 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestRequestsThatAreNotUnderstoodGoNowhere(t *testing.T) {
+	const rest = "X-Lane: search\r\nX-Remaining-Ms: 900\r\n"
+	const hold = "X-Txn: a\r\nX-Lane: hold\r\nX-Remaining-Ms: 900\r\n"
+	for name, request := range map[string]string{
+		"no id":               "GET / HTTP/1.1\r\nHost: x\r\n" + rest + "\r\n",
+		"two ids":             "GET / HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Txn: b\r\n" + rest + "\r\n",
+		"no deadline":         "GET / HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Lane: search\r\n\r\n",
+		"word for a deadline": "GET / HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Lane: search\r\nX-Remaining-Ms: soon\r\n\r\n",
+		"NaN for a deadline":  "GET / HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Lane: search\r\nX-Remaining-Ms: NaN\r\n\r\n",
+		"unknown class":       "GET / HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Lane: searchs\r\nX-Remaining-Ms: 900\r\n\r\n",
+		"POST for a GET":      "POST / HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\n" + rest + "Content-Length: 0\r\n\r\n",
+		"keyed without a key": "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Content-Length: 0\r\n\r\n",
+		"GET with a body":     "GET / HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\n" + rest + "Content-Length: 2\r\n\r\nab",
+		"negative length":     "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nContent-Length: -4\r\n\r\nabcd",
+		"two lengths":         "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nabcd",
+		"body over 64 KiB":    "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nContent-Length: 65537\r\n\r\n",
+		"bad chunks":          "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\nzz\r\n",
+		"head without end":    "GET / HTTP/1.1\r\nHost: x\r\nX-Pad: " + strings.Repeat("p", 2*maxHead) + "\r\n",
+		"half a body":         "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nContent-Length: 9\r\n\r\nabcd",
+		"half a head":         "GET / HTTP/1.1\r\nHost: x\r\nX-Tx",
+		"silence":             "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, "127.0.0.1:0", whole)
+			c := newRig(t, nil, host("s1", b.address, "up")).dial()
+			start := time.Now()
+			status, _ := c.send(request).answer()
+			if status != 0 && (status < 400 || status == 503) {
+				t.Fatalf("answered %d", status)
+			}
+			if d := time.Since(start); d > patient/2 {
+				t.Errorf("only after %v", d)
+			}
+			if status != 0 {
+				c.closed()
+			}
+			if len(b.requests) != 0 {
+				t.Fatal("it came to a backend")
+			}
+		})
+	}
+}
+
+// TestRequestInsideABodyIsNotPassedOn sends a request whose body, for whoever goes by the length, is another.
+func TestRequestInsideABodyIsNotPassedOn(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", whole)
+	g := newRig(t, nil, host("s1", b.address, "up"))
+	inner := "0\r\n\r\n" + head("hidden")
+	for name, lead := range map[string]string{"first": "", "behind another": head("sound")} {
+		t.Run(name, func(t *testing.T) {
+			c := g.dial().send(lead + fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: outer\r\nX-Lane: hold\r\n"+
+				"X-Remaining-Ms: 900\r\nIdempotency-Key: k\r\ncontent-length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s",
+				len(inner), inner))
+			if lead != "" {
+				if status, _ := c.answer(); status != 200 {
+					t.Fatalf("the sound request was answered %d", status)
+				}
+				await(t, "the sound request", b.requests)
+			}
+			if status, _ := c.answer(); status != 400 {
+				t.Fatalf("answered %d", status)
+			}
+			c.closed()
+			if len(b.requests) != 0 {
+				t.Fatalf("%q came to a backend", <-b.requests)
+			}
+		})
+	}
+}
+
+func TestChunkedRequestIsServed(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", whole)
+	c := newRig(t, nil, host("s1", b.address, "up")).dial()
+	c.send("POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Lane: hold\r\nX-Remaining-Ms: 9000\r\nIdempotency-Key: k\r\n" +
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+	if status, body := c.answer(); status != 200 || body != "a" {
+		t.Fatalf("%d %q", status, body)
+	}
+}
+
+func TestIDOfAnOpenRequestIsTurnedAway(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, "127.0.0.1:0", func(id string) string { <-release; return whole(id) })
+	g := newRig(t, nil, host("s1", b.address, "up"))
+	first := g.dial().send(head("a"))
+	await(t, "the first request", b.requests)
+	if status, _ := g.dial().send(head("a")).answer(); status != 409 {
+		t.Fatalf("the second was answered %d", status)
+	}
+	close(release)
+	if status, _ := first.answer(); status != 200 {
+		t.Fatalf("the first was answered %d", status)
+	}
+	if status, _ := g.dial().send(head("a")).answer(); status != 200 {
+		t.Fatalf("once it was over, answered %d", status)
+	}
+}
+
+// TestCrowdOfIdleCallersGivesWay holds more connections than the proxy may, silent ones and such that asked
+// once, and asks on a new one.
+func TestCrowdOfIdleCallersGivesWay(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", whole)
+	for name, first := range map[string]string{"silent": "", "asked once": "yes"} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, func(c *Config) { c.Sockets = 64 }, host("s1", b.address, "up"))
+			for i := range 40 {
+				c := g.dial()
+				if first != "" {
+					if status, _ := c.send(head(fmt.Sprint("r", i))).answer(); status != 200 {
+						t.Fatalf("request %d was answered %d", i, status)
+					}
+				}
+			}
+			// A silent crowd goes once it has been silent for a while, so a caller may meet a close.
+			for end := time.Now().Add(patient); ; {
+				if status, _ := g.dial().send(head("late")).answer(); status == 200 {
+					return
+				}
+				if time.Now().After(end) {
+					t.Fatal("never served")
+				}
+			}
+		})
+	}
+}
+
+// TestCallerThatLeavesEndsItsAttempt waits for the backend to see its connection close.
+func TestCallerThatLeavesEndsItsAttempt(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", func(string) string { return "" })
+	g := newRig(t, nil, host("s1", b.address, "up"))
+	for name, leave := range map[string]func(net.Conn){
+		"close":      func(c net.Conn) { c.Close() },
+		"half close": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := g.dial().send(head("a"))
+			await(t, "the request", b.requests)
+			start := time.Now()
+			leave(c.Conn)
+			await(t, "the end of the attempt", b.gone)
+			if d := time.Since(start); d > 8*time.Second {
+				t.Fatalf("the attempt ran on for %v, to its deadline", d)
+			}
+		})
+	}
+}
+
+func TestFramingFollowsMessages(t *testing.T) {
+	const te = "Transfer-Encoding: chunked\r\n"
+	for name, c := range map[string]struct {
+		text    string
+		chunked bool
+	}{
+		"chunks":               {"POST / HTTP/1.1\r\n" + te + "\r\n", true},
+		"both":                 {"POST / HTTP/1.1\r\nContent-Length: 4\r\n" + te + "\r\n", false},
+		"both, other order":    {"POST / HTTP/1.1\r\n" + te + "CONTENT-LENGTH : 4\n\n", false},
+		"behind a body":        {"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\na\n\nPOST / HTTP/1.1\r\n" + te + "\r\n", true},
+		"fields within a body": {"POST / HTTP/1.1\r\nContent-Length: 28\r\n\r\n" + te + "POST / HTTP/1.1\r\nContent-Length: 1\r\n" + te + "\r\n", false},
+		"behind 1xx":           {"HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\n" + te + "\r\n", true},
+		"no number":            {"POST / HTTP/1.1\r\nContent-Length: ten\r\n" + te + "\r\n", false},
+		"none":                 {"GET / HTTP/1.1\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for step := 1; step <= len(c.text); step++ {
+				var f framing
+				for b := []byte(c.text); len(b) > 0; b = b[min(step, len(b)):] {
+					f.feed(b[:min(step, len(b))])
+				}
+				if f.chunked != c.chunked {
+					t.Fatalf("in pieces of %d: chunked %t", step, f.chunked)
+				}
+			}
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,8 @@
 	Limits struct {
 		Cancel         bool    `json:"cancel"`
 		MaxAttempts    int     `json:"max_attempts"`
+		RetryAfter     bool    `json:"retry_after"`
+		MaxRetryAfter  float64 `json:"max_retry_after_ms"`
 		ConnIdle       float64 `json:"conn_idle_ms"`
 		ConnectTimeout float64 `json:"connect_timeout_ms"`
 	} `json:"limits"`
@@ -84,6 +86,8 @@
 			CanCancel:      o.Limits.Cancel,
 			AskForList:     o.Discovery == "ask",
 			AskEvery:       Millis(o.Rules.AskEvery),
+			RetryAfter:     o.Limits.RetryAfter,
+			MaxRetryAfter:  Millis(o.Limits.MaxRetryAfter),
 			ColdFrom:       o.Rules.ColdFrom,
 			WarmUp:         Millis(o.Rules.WarmUp),
 			FallMultiple:   o.Rules.FallMultiple,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -239,8 +239,13 @@
 	i.end()
 }
 
-// Refuse turns a request away.
-func (i *instance) Refuse(id string) { i.final("decline", id, ",0") }
+// Refuse turns a request away, for a while if wait is above 0.
+func (i *instance) Refuse(id string, wait time.Duration) {
+	i.begin("decline")
+	i.text(id)
+	i.ms(wait)
+	i.end()
+}
 
 // Fail ends a request without a promise.
 func (i *instance) Fail(id string) { i.final("abort", id, "") }
--- a/types.go
+++ b/types.go
@@ -50,7 +50,8 @@
 // Outcome is how one attempt ended.
 type Outcome int
 
-// The outcomes of an attempt. QueueFull, ConnectError and Ignored prove that it never ran.
+// The outcomes of an attempt. QueueFull, ConnectError and Ignored prove that it never ran. Rejected is the
+// server's word that the request itself is at fault, which says nothing about the server.
 const (
 	OK Outcome = iota
 	Failed
@@ -60,6 +61,7 @@
 	Reset
 	Canceled
 	Ignored
+	Rejected
 )
 
 // ProvesUnrun reports whether the outcome proves that the attempt had no effect.
@@ -106,6 +108,9 @@
 	AskForList     bool          // the list comes only to who watches it
 	AskEvery       time.Duration // without a watch, this long after asking one counts as told
 
+	RetryAfter    bool          // callers are told how long to stay away
+	MaxRetryAfter time.Duration // the longest that they heed
+
 	ColdFrom     float64 // a server starts with at least this share of its capacity
 	WarmUp       time.Duration
 	FallMultiple float64 // a cold server sent this many times its capacity for FallTime falls over
@@ -159,8 +164,8 @@
 type Host interface {
 	// Send starts the next attempt of a request; attempts count from 0. It ends in one Result.
 	Send(id, server string, timeout time.Duration)
-	// Refuse is a final answer that lets the client try again without harm.
-	Refuse(id string)
+	// Refuse is a final answer that lets the client try again without harm, after a wait if it is above 0.
+	Refuse(id string, wait time.Duration)
 	// Fail is a final answer without any promise.
 	Fail(id string)
 	// Cancel stops waiting for an attempt; its Result still comes.
