Learn clients' patience and attempts' tails so that neither can lock up

Debug lines at finish showed limit 64, room for more, and patience=1.534s against Left=894ms: the few longer waits that got in were all that useful() learnt from, so it took every usual try for a last one (balancer.go, useful and learn). Ruled out: the admission limit (62 to 66), held requests (0), retry budget (10), lost servers (1 to 3 of 6). The same lines showed a server ejected six times in the first 3.5 s: the tail was the first answer's time.

Patience is now the middle of the last tries served or turned away by that rule itself; the tail counts after 40 answers.

--- a/balancer.go
+++ b/balancer.go
@@ -41,10 +41,12 @@
 	// A class's cost is costQuantile of its answers' times, its tail tailQuantile; both are followed by
 	// quantileStep. minCost, in seconds, keeps them above 0.
 	costQuantile, tailQuantile, quantileStep, minCost = 0.25, 0.95, 0.1, 0.001
+	// tailSeen attempts are needed to tell the tail.
+	tailSeen = 40
 	// patienceSlack is by how much less patience than the longest shows a client's last tries.
 	patienceSlack = 5 * time.Millisecond
-	// patienceKept and patienceRank: see patience.
-	patienceKept, patienceRank = 16, 4
+	// patienceKept tries tell how long clients wait.
+	patienceKept = 15
 	// stayLeast is the shortest wait that a refused client is told, less chance.
 	stayLeast = 100 * time.Millisecond
 	// vacantShare of the places may be empty before the list is sorted anew.
@@ -126,7 +128,7 @@
 	holding  bool
 	inFlight int        // requests with an attempt out
 	limit    float64    // how many of them are admitted
-	tail     []quantile // by class, the time after which an attempt is late for its class
+	tail     []tail     // by class, the time after which an attempt is late for its class
 	cost     []quantile // by class, a low quantile of its answers' seconds, which waiting distorts least
 	patience []patience // by class, how long a client's try may take
 	quota    []bucket   // by tenant
@@ -147,7 +149,7 @@
 		set: settings, host: host, rng: rand.NewPCG(seed, 0),
 		servers: map[string]*server{}, requests: map[string]*request{},
 		timers: map[uint64]func(time.Duration){}, retries: retryBurst / 2, limit: limitFirst,
-		cost: make([]quantile, len(settings.Classes)), tail: make([]quantile, len(settings.Classes)),
+		cost: make([]quantile, len(settings.Classes)), tail: make([]tail, len(settings.Classes)),
 		patience: make([]patience, len(settings.Classes)),
 		quota:    make([]bucket, len(settings.Tenants)),
 	}, nil
@@ -168,6 +170,7 @@
 	useful := b.useful(now, q)
 	if useful <= 0 {
 		// A client's repeat that comes too late to earn anything: sending it on would be waste.
+		b.patience[r.Class].observe(r.Left)
 		b.answer(now, q)
 		return
 	}
@@ -245,8 +248,9 @@
 		b.cost[q.Class].observe(r.Latency, costQuantile)
 		b.patience[q.Class].observe(q.Left)
 	}
-	if tail := &b.tail[q.Class]; r.Outcome == OK || *tail > 0 && r.Latency.Seconds() > float64(*tail) {
-		tail.observe(r.Latency, tailQuantile)
+	if t := &b.tail[q.Class]; r.Outcome == OK || t.known() && r.Latency.Seconds() > float64(t.quantile) {
+		t.observe(r.Latency, tailQuantile)
+		t.seen++
 	}
 	if late || r.Outcome == QueueFull {
 		b.limit = max(b.limit-limitCut, limitLeast)
@@ -267,9 +271,9 @@
 	s.trial = s.ejected > 0
 	b.spendCold(now, s)
 	b.host.Send(q.ID, s.id, q.end-now)
-	if tail := b.tail[q.Class]; tail > 0 {
+	if t := b.tail[q.Class]; t.known() {
 		index := len(q.attempts) - 1
-		wait := time.Duration(float64(tail) * float64(time.Second))
+		wait := time.Duration(float64(t.quantile) * float64(time.Second))
 		b.after(wait, func(now time.Duration) { b.stalled(now, q, index) })
 	}
 }
@@ -805,9 +809,10 @@
 	return time.Duration((0.5 + 0.5*b.random()) * float64(wait))
 }
 
-// patience follows how long a class's clients wait on a try. Only served requests count, and of the last
-// patienceKept of these the patienceRank-longest: a few callers who claim to wait far longer than all others
-// would otherwise make everybody's first try look like a last one.
+// patience follows how long a class's clients wait on a try: the middle one of the last patienceKept. It
+// learns from requests that were served, since what bad callers claim is never served, and from those that
+// it turned away itself: were these left out, a few long waits that get in by chance would have it refuse
+// all others and never hear of them again. It would mislead where most tries are last ones.
 type patience struct {
 	last [patienceKept]time.Duration
 	next int
@@ -821,7 +826,7 @@
 func (p *patience) usual() time.Duration {
 	sorted := p.last
 	slices.Sort(sorted[:])
-	return sorted[patienceKept-patienceRank]
+	return sorted[patienceKept/2]
 }
 
 // rate is a smoothed count of events a second.
@@ -856,6 +861,15 @@
 	}
 }
 
+// tail is the time that nearly all of a class's attempts take. From the first few it cannot be told: an
+// instance that has just started would take the first one's time for it and eject whoever takes longer.
+type tail struct {
+	quantile
+	seen int
+}
+
+func (t *tail) known() bool { return t.seen >= tailSeen }
+
 // bucket is a token bucket that starts full.
 type bucket struct {
 	tokens float64
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -443,7 +443,7 @@
 
 func TestLateRepeatIsRefused(t *testing.T) {
 	f := newFake(t, testSettings(), fleet(4))
-	for i := range patienceRank {
+	for i := range patienceKept {
 		id := fmt.Sprint("usual", i)
 		f.b.Submit(f.now, Request{ID: id, Class: 2, Left: 1200 * ms})
 		f.result(id, 0, OK)
@@ -687,7 +687,7 @@
 
 func TestStalledServerIsEjected(t *testing.T) {
 	f := newFake(t, testSettings(), fleet(6))
-	for i := range 12 {
+	for i := range tailSeen {
 		id := fmt.Sprint("a", i)
 		f.submit(id, 0)
 		f.advance(f.now + 10*ms)
@@ -836,6 +836,44 @@
 	}
 }
 
+// TestPatienceComesBackToItsUsers has long waits fill what is remembered; usual tries must get in again soon.
+func TestPatienceComesBackToItsUsers(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(4))
+	served := func(id string, left time.Duration) bool {
+		f.b.Submit(f.now, Request{ID: id, Class: 2, Left: left})
+		if len(f.sent[id]) > 0 {
+			f.result(id, 0, OK)
+		}
+		return len(f.sent[id]) > 0
+	}
+	for i := range patienceKept {
+		served(fmt.Sprint("long", i), 2*time.Second)
+	}
+	for i := range patienceKept {
+		if served(fmt.Sprint("usual", i), 900*ms) {
+			return
+		}
+	}
+	t.Fatalf("%d tries of the usual length were all refused", patienceKept)
+}
+
+// TestFirstAnswersTellNoTail: an instance that has just started takes no server for stalled.
+func TestFirstAnswersTellNoTail(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(6))
+	f.submit("quick", 0)
+	f.advance(f.now + ms)
+	f.result("quick", 0, OK)
+	for i := range 24 {
+		f.submit(fmt.Sprint("r", i), 0)
+	}
+	f.advance(f.now + 500*ms)
+	for _, s := range f.b.slots {
+		if s.ejected > 0 {
+			t.Errorf("%s is ejected", s.id)
+		}
+	}
+}
+
 // TestBoastersDoNotAgeTheOthers: callers who claim to wait long, served or not, leave first tries first tries.
 func TestBoastersDoNotAgeTheOthers(t *testing.T) {
 	f := newFake(t, testSettings(), fleet(4))
