Turn late repeats away only at the limit, and keep natural lateness out of it

The debug lines had also shown the limit going from 64 to 46 in 13 s with no overload: every late answer takes 0.5 off, and about one in five searches is late however few are in flight (balancer.go, learn).

Now a late repeat is turned away only at 0.9 of the limit; patience is the longest served of the last 10 to 20 s; what share of answers is late while the limit is far does not count against it, nor does a server late much more often than its peers; calls off and rejections move no limit.

--- a/balancer.go
+++ b/balancer.go
@@ -33,20 +33,28 @@
 	loadMemory = 700 * time.Millisecond
 	// The admission limit on requests in flight is halved by as many late answers as it counts, and grows by
 	// one for each so many answers in time. lateShare of the aim is late: the rest is room for a second try.
+	// Some answers are late however few are in flight; what share, up to naturalMost, is smoothed by
+	// naturalStep while the limit is far, and so many do not count. Nor do those of a server whose own share,
+	// smoothed by lateStep, is over its peers' by sickMargin: that is the ejections' and the caps' affair.
 	limitFirst, limitLeast = 64.0, 4.0
 	limitCut               = 0.5
 	lateShare              = 0.75
+	naturalStep            = 0.02
+	naturalMost            = 0.3
+	lateStep, sickMargin   = 0.1, 0.25
 	// holdShare of its aim is how long a request may be held before it is refused.
 	holdShare = 0.5
 	// A class's cost is costQuantile of its answers' times, its tail tailQuantile; both are followed by
 	// quantileStep. minCost, in seconds, keeps them above 0.
 	costQuantile, tailQuantile, quantileStep, minCost = 0.25, 0.95, 0.1, 0.001
 	// tailSeen attempts are needed to tell the tail.
-	tailSeen = 40
+	tailSeen = 12
 	// patienceSlack is by how much less patience than the longest shows a client's last tries.
 	patienceSlack = 5 * time.Millisecond
-	// patienceKept tries tell how long clients wait.
-	patienceKept = 15
+	// nearLimit of the admission limit is where late repeats are turned away.
+	nearLimit = 0.9
+	// patienceSpell is how long it takes for a client's long wait to be forgotten, at least.
+	patienceSpell = 10 * time.Second
 	// stayLeast is the shortest wait that a refused client is told, less chance.
 	stayLeast = 100 * time.Millisecond
 	// vacantShare of the places may be empty before the list is sorted anew.
@@ -80,6 +88,7 @@
 	ejected   time.Duration // until when it is passed over; 0 if it is not
 	ejections int           // in a row, without a success between
 	trial     bool          // the request that tries an ejected server is out
+	late      float64       // smoothed share of late answers
 
 	// The budget while cold: tokens earned at the warm members' rate times the cold share.
 	coldTokens float64
@@ -128,6 +137,7 @@
 	holding  bool
 	inFlight int        // requests with an attempt out
 	limit    float64    // how many of them are admitted
+	natural  float64    // the share of answers that are late without any crowd
 	tail     []tail     // by class, the time after which an attempt is late for its class
 	cost     []quantile // by class, a low quantile of its answers' seconds, which waiting distorts least
 	patience []patience // by class, how long a client's try may take
@@ -168,9 +178,8 @@
 	q := &request{Request: r, class: c, end: now + r.Left}
 	b.requests[r.ID] = q
 	useful := b.useful(now, q)
-	if useful <= 0 {
+	if useful <= 0 && float64(b.inFlight+1) > nearLimit*b.limit {
 		// A client's repeat that comes too late to earn anything: sending it on would be waste.
-		b.patience[r.Class].observe(r.Left)
 		b.answer(now, q)
 		return
 	}
@@ -199,10 +208,10 @@
 	}
 	// A first try has all the patience of a try; who has less is at the end of its client's patience.
 	aim := c.Aim
-	if q.Left < b.patience[q.Class].usual()-patienceSlack {
+	if q.Left < b.patience[q.Class].longest()-patienceSlack {
 		aim -= c.GiveUp - q.Left
 	}
-	if c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll {
+	if aim > 0 && (c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll) {
 		q.end = min(q.end, now+aim)
 	}
 	return min(aim, q.Left)
@@ -241,24 +250,58 @@
 	return b.set.Layer > 0 || float64(b.inFlight+1) <= b.limit
 }
 
-// learn moves the admission limit and the class's cost by an attempt's outcome.
-func (b *Balancer) learn(q *request, r Result) {
-	late := r.Latency > time.Duration(lateShare*float64(q.class.Aim))
+// pressed says whether the admission limit is made use of; if not, what happens says nothing about it.
+func (b *Balancer) pressed() bool { return 2*float64(b.inFlight) > b.limit }
+
+// learn takes in what an attempt's outcome tells of its class.
+func (b *Balancer) learn(now time.Duration, q *request, s *server, r Result) {
 	if r.Outcome == OK {
 		b.cost[q.Class].observe(r.Latency, costQuantile)
-		b.patience[q.Class].observe(q.Left)
+		b.patience[q.Class].observe(now, q.Left)
 	}
 	if t := &b.tail[q.Class]; r.Outcome == OK || t.known() && r.Latency.Seconds() > float64(t.quantile) {
 		t.observe(r.Latency, tailQuantile)
 		t.seen++
 	}
-	if late || r.Outcome == QueueFull {
+	b.adapt(s, r.Outcome, r.Latency > time.Duration(lateShare*float64(q.class.Aim)))
+}
+
+// adapt moves the admission limit by an attempt's outcome.
+func (b *Balancer) adapt(s *server, o Outcome, late bool) {
+	switch o {
+	case Canceled, Ignored, Rejected:
+		return // says nothing of how long the servers take
+	case QueueFull:
 		b.limit = max(b.limit-limitCut, limitLeast)
-	} else if r.Outcome == OK && 2*float64(b.inFlight) > b.limit {
+		return
+	}
+	share := 0.0
+	if late {
+		share = 1
+	}
+	s.late += lateStep * (share - s.late)
+	if !b.pressed() {
+		b.natural = min(b.natural+naturalStep*(share-b.natural), naturalMost)
+		return
+	}
+	if late && b.sick(s) {
+		return
+	}
+	b.limit = max(b.limit-limitCut*(share-b.natural), min(b.limit, limitLeast))
+	if o == OK && !late {
 		b.limit += 1 / b.limit
 	}
 }
 
+// sick says whether a server answers late much more often than its peers: then the cause is its own.
+func (b *Balancer) sick(s *server) bool {
+	sum := 0.0
+	for _, m := range b.active {
+		sum += m.late
+	}
+	return s.late > sum/float64(max(len(b.active), 1))+sickMargin
+}
+
 func (b *Balancer) send(now time.Duration, q *request, s *server) {
 	q.held = false
 	if q.out == 0 {
@@ -406,7 +449,7 @@
 	a.s.track(now)
 	a.s.inFlight--
 	q.out--
-	b.learn(q, r)
+	b.learn(now, q, a.s, r)
 	if q.out == 0 {
 		b.inFlight--
 	}
@@ -809,25 +852,22 @@
 	return time.Duration((0.5 + 0.5*b.random()) * float64(wait))
 }
 
-// patience follows how long a class's clients wait on a try: the middle one of the last patienceKept. It
-// learns from requests that were served, since what bad callers claim is never served, and from those that
-// it turned away itself: were these left out, a few long waits that get in by chance would have it refuse
-// all others and never hear of them again. It would mislead where most tries are last ones.
+// patience follows how long a class's clients wait on a try: the longest of those served in this spell of
+// patienceSpell and the one before. What bad callers claim is never served, so it does not count, and an
+// honest caller who waited far longer than all others is forgotten.
 type patience struct {
-	last [patienceKept]time.Duration
-	next int
+	current, previous time.Duration
+	until             time.Duration // the end of the current spell
 }
 
-func (p *patience) observe(left time.Duration) {
-	p.last[p.next] = left
-	p.next = (p.next + 1) % patienceKept
+func (p *patience) observe(now, left time.Duration) {
+	if now >= p.until {
+		p.previous, p.current, p.until = p.current, 0, now+patienceSpell
+	}
+	p.current = max(p.current, left)
 }
 
-func (p *patience) usual() time.Duration {
-	sorted := p.last
-	slices.Sort(sorted[:])
-	return sorted[patienceKept/2]
-}
+func (p *patience) longest() time.Duration { return max(p.current, p.previous) }
 
 // rate is a smoothed count of events a second.
 type rate struct {
