Serve on for a while in a planned restart, and answer all before its end

A trace of both front proxies: SIGTERM came to the second 3 s after the first, which is started again only 3.5 s after its own; each sent "Connection: close" from SIGTERM on and ended 0.9 s later, so for about a second callers had no proxy at all (proxy.go, leave). Ruled out: slow starts (ready after 0.0 s), connections not taken (0).

Callers now use their connections for 0.35 of the longest deadline more; what is open just before SIGKILL may come is failed. Before, a request with over 3 s left could be found unanswered by SIGKILL.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -147,12 +147,10 @@
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
 const (
-	// acceptMore is how long a planned restart goes on accepting: new connections come for up to 0.4 s.
-	acceptMore = 500 * time.Millisecond
 	// acceptQuiet without a new connection shows that no more are coming, on a machine that runs late too.
 	acceptQuiet = 50 * time.Millisecond
-	// leaveMost bounds a planned restart whose last callers never end.
-	leaveMost = 10 * time.Second
+	// lastWords is how long the last answers of a planned restart may take to be written.
+	lastWords = 200 * time.Millisecond
 	leaveStep = 5 * time.Millisecond
 )
 
@@ -180,15 +178,27 @@
 // leave is a planned restart. http.Server.Shutdown would close the listener at once, and with it the
 // connections that are still coming and those in the accept queue, whose requests count as taken.
 func (p *Proxy) leave() {
-	p.server.leaving.begin()
-	time.Sleep(acceptMore)
-	end := time.Now().Add(leaveMost)
-	for time.Now().Before(end) {
-		quiet := time.Since(time.Unix(0, p.listener.accepted.Load())) >= acceptQuiet
-		if busy := p.server.callers.closeQuiet(acceptQuiet); busy == 0 && quiet {
+	l := p.server.leaving
+	start := time.Now()
+	l.begin()
+	time.Sleep(l.serveOn())
+	for time.Since(start) < l.end() {
+		if p.left() {
 			return
 		}
 		time.Sleep(leaveStep)
 	}
+	close(l.over)
+	for end := time.Now().Add(lastWords); time.Now().Before(end); time.Sleep(leaveStep) {
+		if p.left() {
+			return
+		}
+	}
 	p.log.Warn("leaving with callers' connections still open")
 }
+
+// left closes the connections on which nothing is open and says whether no other is there or coming.
+func (p *Proxy) left() bool {
+	busy := p.server.callers.closeQuiet(acceptQuiet)
+	return busy == 0 && time.Since(time.Unix(0, p.listener.accepted.Load())) >= acceptQuiet
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -56,7 +56,7 @@
 	srv := &server{
 		instance: i, bodies: bodies, callers: callers,
 		classes: map[string]int{}, tenants: map[string]int{}, class: s.Balancer.Classes,
-		leaving: &leaving{}, open: map[string]struct{}{},
+		leaving: newLeaving(), open: map[string]struct{}{},
 	}
 	for n, name := range s.Classes {
 		srv.classes[name] = n
@@ -68,7 +68,7 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.leaving.yes() {
+	if s.leaving.closing() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/_health" {
@@ -126,6 +126,9 @@
 	case <-r.Context().Done():
 		s.instance.drop(q)
 		f = <-q.final
+	case <-s.leaving.over:
+		s.instance.drop(q)
+		f = <-q.final
 	}
 	s.answer(w, f)
 }
@@ -259,7 +262,7 @@
 func (s *server) answer(w http.ResponseWriter, f final) {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
 	header := w.Header()
-	if s.leaving.yes() {
+	if s.leaving.closing() {
 		header.Set("Connection", "close")
 	}
 	switch f.verdict {
@@ -285,14 +288,28 @@
 }
 
 // leaving is a planned restart. It starts with SIGTERM; SIGKILL follows no sooner than the callers' longest
-// deadline and killSlack later.
+// deadline, but at most longestKnown, and 0.7 s later.
 type leaving struct {
 	begun   atomic.Pointer[time.Time]
-	longest atomic.Int64 // the longest that a caller was ready to wait
+	longest atomic.Int64  // the longest that a caller was ready to wait
+	over    chan struct{} // closed when what is still open has to be answered
 }
 
-// killSlack is 0.7 s by the protocol, less what it takes to write the last answers.
-const killSlack = 600 * time.Millisecond
+const (
+	longestKnown = 3 * time.Second
+	// killSlack is 0.7 s by the protocol, less what it takes to write the last answers, on a machine that
+	// runs late too.
+	killSlack = 400 * time.Millisecond
+	// serveShare of the longest deadline is how long callers may go on using their connections. The proxy
+	// that was restarted before this one may not be back yet, and callers have no other then; who asks
+	// late still has the rest of the time for its answer.
+	serveShare = 0.35
+	// acceptMore is how long a planned restart goes on accepting at least: new connections come for up to
+	// 0.4 s.
+	acceptMore = 500 * time.Millisecond
+)
+
+func newLeaving() *leaving { return &leaving{over: make(chan struct{})} }
 
 func (l *leaving) begin() {
 	now := time.Now()
@@ -301,12 +318,29 @@
 
 func (l *leaving) yes() bool { return l.begun.Load() != nil }
 
+// closing says whether callers' connections are to end with the next answer.
+func (l *leaving) closing() bool {
+	begun := l.begun.Load()
+	return begun != nil && time.Since(*begun) >= l.serveOn()
+}
+
+func (l *leaving) longestWait() time.Duration {
+	return min(time.Duration(l.longest.Load()), longestKnown)
+}
+
+// serveOn is how long after SIGTERM connections are served as ever, and end is when all must be answered.
+func (l *leaving) serveOn() time.Duration {
+	return max(acceptMore, time.Duration(serveShare*float64(l.longestWait())))
+}
+
+func (l *leaving) end() time.Duration { return max(l.longestWait(), acceptMore) + killSlack }
+
 // cap shortens a request's time so that its answer goes out before SIGKILL does.
 func (l *leaving) cap(left time.Duration) time.Duration {
-	longest := time.Duration(l.longest.Load())
 	if begun := l.begun.Load(); begun != nil {
-		return min(left, longest+killSlack-time.Since(*begun))
+		return min(left, l.end()-time.Since(*begun))
 	}
+	longest := time.Duration(l.longest.Load())
 	for left > longest && !l.longest.CompareAndSwap(int64(longest), int64(left)) {
 		longest = time.Duration(l.longest.Load())
 	}
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -156,6 +156,42 @@
 	}
 }
 
+// TestLeavingServesWhoStillAsks: during a planned restart connections go on being used, what cannot be served in
+// time is failed, and then all are closed.
+func TestLeavingServesWhoStillAsks(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", func(id string) string {
+		if id == "never" {
+			return ""
+		}
+		return whole(id)
+	})
+	g := newRig(t, nil, host("s1", b.address, "up"))
+	asks, waits := g.dial(), g.dial()
+	asks.send(head("before")).answer()
+	waits.send(head("never"))
+	await(t, "the request before", b.requests)
+	await(t, "the request that is never answered", b.requests)
+
+	g.server.leaving.begin()
+	if status, _ := g.dial().send("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").answer(); status != 503 {
+		t.Errorf("health while leaving: %d", status)
+	}
+	if status, body := asks.send(head("during")).answer(); status != 200 || body != "during" {
+		t.Errorf("while leaving: %d %q", status, body)
+	}
+	left := make(chan struct{})
+	go func() {
+		g.leave()
+		close(left)
+	}()
+	if status, _ := waits.answer(); status != 502 {
+		t.Errorf("what cannot be served in time was answered %d", status)
+	}
+	asks.closed()
+	waits.closed()
+	await(t, "the end", left)
+}
+
 func TestFramingFollowsMessages(t *testing.T) {
 	const te = "Transfer-Encoding: chunked\r\n"
 	for name, c := range map[string]struct {
