--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	// watchHold is how long a watch asks discovery to wait for news. It is long because discovery serves few
-	// calls and the whole fleet watches at once.
-	watchHold = 20 * time.Second
+	// watchHold is how long a watch asks discovery to wait for news. A watch that has fallen silent is found
+	// out only watchSlack after that, and what changed meanwhile is missed until then: with 20 s a whole
+	// release went by. The shorter, the more calls discovery has to serve; an answer without news holds no
+	// entries.
+	watchHold = 2500 * time.Millisecond
 	// watchSlack on top of that is when a call counts as silent: a machine that is cut off says nothing.
 	// What changed meanwhile counts as told 2 s after the hold, so by then another call must have asked.
 	watchSlack = 1500 * time.Millisecond
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -72,3 +72,11 @@
 		}
 	}
 }
+
+// TestSilentWatchIsFollowedByAnother: discovery takes the watch and never says a word.
+func TestSilentWatchIsFollowedByAnother(t *testing.T) {
+	g := newRig(t, nil)
+	go g.discovery.follow(g.watching)
+	await(t, "the first watch", g.registry.calls)
+	await(t, "another watch", g.registry.calls)
+}
