--- a/balancer.go
+++ b/balancer.go
@@ -178,8 +178,9 @@
 	q := &request{Request: r, class: c, end: now + r.Left}
 	b.requests[r.ID] = q
 	useful := b.useful(now, q)
-	if useful <= 0 && float64(b.inFlight+1) > nearLimit*b.limit {
-		// A client's repeat that comes too late to earn anything: sending it on would be waste.
+	if r.Left <= 0 || useful <= 0 && float64(b.inFlight+1) > nearLimit*b.limit {
+		// Its time is over, or it is a client's repeat that comes too late to earn anything where others
+		// want the room: sending it on would be waste.
 		b.answer(now, q)
 		return
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -457,6 +457,14 @@
 	}
 }
 
+func TestExpiredRequestIsRefusedAtOnce(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(4))
+	f.b.Submit(f.now, Request{ID: "r", Class: 2, Left: 0})
+	if len(f.sent["r"]) != 0 || f.final["r"] != "refused" {
+		t.Fatalf("sent %v, final %q", f.sent["r"], f.final["r"])
+	}
+}
+
 func TestWatchBacksOff(t *testing.T) {
 	set := testSettings()
 	set.AskForList = true
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -5,11 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +21,11 @@
 	"lemonflow/internal/settings"
 )
 
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard) // net/http tells of each stray byte, of which there are many here
+	os.Exit(m.Run())
+}
+
 // patient is how long a test waits for an event that must come.
 const patient = 20 * time.Second
 
@@ -239,3 +248,61 @@
 		}
 	}
 }
+
+func TestRefusedCallerIsToldWhenToComeBack(t *testing.T) {
+	g := newRig(t, func(c *Config) {
+		c.Settings.Balancer.RetryAfter, c.Settings.Balancer.MaxRetryAfter = true, 2*time.Second
+	})
+	c := g.dial().send(strings.Replace(head("a"), "9000", "400", 1))
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if resp.StatusCode != 503 || err != nil || wait <= 0 || wait > 2 {
+		t.Fatalf("%d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
+
+// TestKernelBuffersAreBounded asks the kernel what a connection that the proxy accepted may hold.
+func TestKernelBuffersAreBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		memory  int64
+		sockets int
+	}{"least": {32 << 20, 1024}, "most": {1 << 30, 256}} {
+		t.Run(name, func(t *testing.T) {
+			listen := net.ListenConfig{Control: socketBuffers(c.memory, c.sockets)}
+			l, err := listen.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			conn, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			raw, err := conn.(*net.TCPConn).SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, option := range []int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
+				var size int
+				var optionErr error
+				if err := raw.Control(func(fd uintptr) {
+					size, optionErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, option)
+				}); err != nil || optionErr != nil {
+					t.Fatal(err, optionErr)
+				}
+				if size > 2*mostBuffer || name == "least" && size > 2*leastBuffer {
+					t.Errorf("option %d: %d bytes", option, size)
+				}
+			}
+		})
+	}
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -506,6 +506,16 @@
 	return n, err
 }
 
+// CloseWrite lets net/http end its sending first where it leaves unread what a caller sent: a close alone would
+// become a reset, and take the answer with it.
+func (k *caller) CloseWrite() error {
+	half, ok := k.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // roomyListener accepts only what there is room for, and closes the rest at once.
 type roomyListener struct {
 	net.Listener
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 )
 
 const profile1 = `{"instances":1,"me":0,"layer":0,"zone":0,"discovery":"push","unknown_key":[1],
@@ -77,3 +78,12 @@
 		t.Fatalf("got %s", s.out)
 	}
 }
+
+func TestDeclineCarriesTheWait(t *testing.T) {
+	s := &session{}
+	i := &instance{s: s, who: 4}
+	i.Refuse("c:x", 250*time.Millisecond)
+	if string(s.out) != `["decline",4,"c:x",250.000],` {
+		t.Fatalf("got %s", s.out)
+	}
+}
