--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -23,9 +23,12 @@
 	headWait = 2 * time.Second
 	// bodyWait is how long the body behind a head may take: 64 KiB at most, which callers send at once.
 	bodyWait = 700 * time.Millisecond
-	// idleWait is how long a caller's connection may idle. Many callers ask once and keep their connection
-	// for good; each costs a descriptor, buffers and a goroutine.
-	idleWait = 3 * time.Second
+	// idleWait is how long a caller's connection may idle, onceWait how long one that has carried a single
+	// request so far, once others come. Many callers ask once and keep their connection for good; each costs
+	// a descriptor, buffers and a goroutine. Who has asked again will do so, maybe when no new connection
+	// can be had.
+	idleWait = 10 * time.Second
+	onceWait = 3 * time.Second
 	// writeWait is how long a caller may leave its answer untaken.
 	writeWait = 2 * time.Second
 	// maxHead bounds a request's head.
@@ -303,7 +306,7 @@
 	// serveShare of the longest deadline is how long callers may go on using their connections. The proxy
 	// that was restarted before this one may not be back yet, and callers have no other then; who asks
 	// late still has the rest of the time for its answer.
-	serveShare = 0.35
+	serveShare = 0.5
 	// acceptMore is how long a planned restart goes on accepting at least: new connections come for up to
 	// 0.4 s.
 	acceptMore = 500 * time.Millisecond
@@ -378,6 +381,8 @@
 	since time.Time
 	busy  bool // something has been read since the last answer
 	ended bool
+
+	requests int // begun so far
 }
 
 type callerKey struct{}
@@ -397,6 +402,11 @@
 func (c *callers) admit(conn net.Conn) *caller {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for k := range c.open {
+		if k.state == http.StateIdle && !k.busy && k.requests <= 1 && time.Since(k.since) >= onceWait {
+			c.end(k)
+		}
+	}
 	if len(c.open) >= c.soft && !c.makeRoom() && len(c.open) >= c.hard {
 		return nil
 	}
@@ -406,21 +416,28 @@
 }
 
 // makeRoom ends the connection that is missed least: the one that has been silent longest from the start, or
-// else has idled longest.
+// else has idled longest, of those that have carried a single request if there are any.
 func (c *callers) makeRoom() bool {
-	var silent, idle *caller
+	var silent, once, idle *caller
 	for k := range c.open {
 		switch {
 		case k.busy:
 		case k.state == http.StateNew && (silent == nil || k.since.Before(silent.since)):
 			silent = k
-		case k.state == http.StateIdle && (idle == nil || k.since.Before(idle.since)):
+		case k.state != http.StateIdle:
+		case k.requests <= 1:
+			if once == nil || k.since.Before(once.since) {
+				once = k
+			}
+		case idle == nil || k.since.Before(idle.since):
 			idle = k
 		}
 	}
 	switch {
 	case silent != nil && time.Since(silent.since) >= silentGrace:
 		c.end(silent)
+	case once != nil:
+		c.end(once)
 	case idle != nil:
 		c.end(idle)
 	default:
@@ -463,6 +480,7 @@
 	}
 	if state == http.StateActive {
 		c.active++
+		k.requests++
 	}
 	k.state, k.since, k.busy = state, time.Now(), state == http.StateActive
 }
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+// TestCallersThatAskAgainKeepTheirConnection fills the places with callers that ask once.
+func TestCallersThatAskAgainKeepTheirConnection(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", whole)
+	g := newRig(t, func(c *Config) { c.Sockets = 64 }, host("s1", b.address, "up"))
+	steady := g.dial()
+	for _, id := range []string{"s1", "s2"} {
+		steady.send(head(id)).answer()
+	}
+	for i := range 40 {
+		if status, _ := g.dial().send(head(fmt.Sprint("r", i))).answer(); status != 200 {
+			t.Fatalf("request %d was answered %d", i, status)
+		}
+	}
+	if status, body := steady.send(head("s3")).answer(); status != 200 || body != "s3" {
+		t.Fatalf("%d %q: its connection went before those of callers that asked once", status, body)
+	}
+}
+
 // TestCallerThatLeavesEndsItsAttempt waits for the backend to see its connection close.
 func TestCallerThatLeavesEndsItsAttempt(t *testing.T) {
 	b := newBackend(t, "127.0.0.1:0", func(string) string { return "" })
