Name the module brasswell and give the decisions a package of their own

Need: the names lemonflow and plumplank said nothing, and the decision module shared the root with everything else; every later part needs a place beside it.

Change: Go module brasswell; package balance in balance/; the real proxy cmd/brasswell; the adapter stays cmd/wirehost. Mechanical: no behaviour changed.

--- a/balancer.go
+++ b/balance/balance.go
@@ -1,9 +1,9 @@
-// Package lemonflow makes a load balancer's decisions for services that call services.
+// Package balance makes a load balancer's decisions for services that call services.
 //
 // This file holds every decision; the interface (settings, events, actions) is in types.go. A server is
 // picked by subset, pick and canTake: the subset comes from the instance's own number through a shuffle
 // seeded by its round, turns rotate inside it, and members that cannot take a request are skipped.
-package lemonflow
+package balance
 
 import (
 	"cmp"
--- a/balancer_test.go
+++ b/balance/balance_test.go
@@ -1,4 +1,4 @@
-package lemonflow
+package balance
 
 import (
 	"bufio"
@@ -627,7 +627,7 @@
 }
 
 func TestModuleKeepsItsSize(t *testing.T) {
-	f, err := os.Open("balancer.go")
+	f, err := os.Open("balance.go")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/example_test.go
+++ b/balance/example_test.go
@@ -1,10 +1,10 @@
-package lemonflow_test
+package balance_test
 
 import (
 	"fmt"
 	"time"
 
-	"lemonflow"
+	"brasswell/balance"
 )
 
 // printHost prints what a proxy would do.
@@ -19,18 +19,18 @@
 func (printHost) Log(string)                              {}
 
 func Example() {
-	settings := lemonflow.Settings{
+	settings := balance.Settings{
 		Instances:   1,
 		MaxAttempts: 3,
-		Classes:     []lemonflow.Class{{Aim: time.Second, GiveUp: 2 * time.Second, Worth: 1}},
+		Classes:     []balance.Class{{Aim: time.Second, GiveUp: 2 * time.Second, Worth: 1}},
 	}
-	b, err := lemonflow.New(settings, 42, printHost{})
+	b, err := balance.New(settings, 42, printHost{})
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	b.Update(0, lemonflow.Full, []lemonflow.Entry{{ID: "10.0.0.1:80"}})
-	b.Submit(time.Millisecond, lemonflow.Request{ID: "r1", Left: time.Second})
-	b.Result(9*time.Millisecond, lemonflow.Result{ID: "r1", Outcome: lemonflow.OK, Finished: true})
+	b.Update(0, balance.Full, []balance.Entry{{ID: "10.0.0.1:80"}})
+	b.Submit(time.Millisecond, balance.Request{ID: "r1", Left: time.Second})
+	b.Result(9*time.Millisecond, balance.Result{ID: "r1", Outcome: balance.OK, Finished: true})
 	// Output: send r1 to 10.0.0.1:80
 }
--- a/types.go
+++ b/balance/types.go
@@ -1,4 +1,4 @@
-package lemonflow
+package balance
 
 import (
 	"errors"
--- a/cmd/plumplank/main.go
+++ b/cmd/brasswell/main.go
@@ -1,5 +1,5 @@
-// Command plumplank is one real proxy: it takes callers' requests and sends them to the backends that its
-// lemonflow balancer picks.
+// Command brasswell is one real proxy: it takes callers' requests and sends them to the backends that its
+// balancer picks.
 package main
 
 import (
@@ -13,8 +13,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"lemonflow/internal/proxy"
-	"lemonflow/internal/settings"
+	"brasswell/internal/proxy"
+	"brasswell/internal/settings"
 )
 
 // heapShare of the memory limit is where the collector stops saving work: what sockets hold in the kernel,
@@ -23,7 +23,7 @@
 
 func main() {
 	if err := run(os.Getenv); err != nil {
-		fmt.Fprintln(os.Stderr, "plumplank:", err)
+		fmt.Fprintln(os.Stderr, "brasswell:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"lemonflow/internal/wire"
+	"brasswell/internal/wire"
 )
 
 func main() {
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -19,7 +19,7 @@
 	"syscall"
 	"time"
 
-	"lemonflow"
+	"brasswell/balance"
 )
 
 const (
@@ -67,12 +67,12 @@
 
 // exchange carries one attempt out and says how it ended. begin is asked right before the request is
 // written, and says how long the proxy will wait and whether it still wants to.
-func (p *pool) exchange(ctx context.Context, to endpoint, m *message, begin func() (time.Duration, bool)) (lemonflow.Outcome, *reply) {
+func (p *pool) exchange(ctx context.Context, to endpoint, m *message, begin func() (time.Duration, bool)) (balance.Outcome, *reply) {
 	for {
 		c, reused, err := p.get(ctx, to)
 		if err != nil {
 			outcome := connectOutcome(ctx, err)
-			if outcome == lemonflow.ConnectError {
+			if outcome == balance.ConnectError {
 				p.distrust(to)
 			}
 			return outcome, nil
@@ -80,7 +80,7 @@
 		left, wanted := begin()
 		if !wanted {
 			p.release(c)
-			return lemonflow.Ignored, nil
+			return balance.Ignored, nil
 		}
 		resp, err := c.roundTrip(ctx, m, left)
 		if err == nil {
@@ -93,7 +93,7 @@
 			continue
 		}
 		outcome := c.brokenOutcome(ctx)
-		if outcome == lemonflow.TimedOut {
+		if outcome == balance.TimedOut {
 			p.distrust(to) // a machine that is cut off leaves all its connections open and silent
 		}
 		return outcome, nil
@@ -101,15 +101,15 @@
 }
 
 // receive reads the answer whose head has come.
-func (p *pool) receive(ctx context.Context, c *conn, resp *http.Response) (lemonflow.Outcome, *reply) {
+func (p *pool) receive(ctx context.Context, c *conn, resp *http.Response) (balance.Outcome, *reply) {
 	c.watchRest()
 	if resp.StatusCode != http.StatusOK {
-		outcome := lemonflow.Failed
+		outcome := balance.Failed
 		switch unavailable := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout; {
 		case unavailable && resp.Header.Get("X-Turned-Away") == "1":
-			outcome = lemonflow.QueueFull
+			outcome = balance.QueueFull
 		case resp.StatusCode >= 400 && resp.StatusCode < 500:
-			outcome = lemonflow.Rejected
+			outcome = balance.Rejected
 		}
 		p.discardAnswer(c, resp)
 		return outcome, nil
@@ -120,7 +120,7 @@
 		return c.brokenOutcome(ctx), nil
 	}
 	p.release(c)
-	return lemonflow.OK, &reply{header: resp.Header, body: text}
+	return balance.OK, &reply{header: resp.Header, body: text}
 }
 
 // readAnswer reads a whole answer. One that is cut must not pass for whole, so its end has to be told by a
@@ -165,7 +165,7 @@
 }
 
 // connectOutcome is the outcome of an attempt that got no connection.
-func connectOutcome(ctx context.Context, err error) lemonflow.Outcome {
+func connectOutcome(ctx context.Context, err error) balance.Outcome {
 	if ctx.Err() != nil {
 		return endedOutcome(ctx)
 	}
@@ -173,29 +173,29 @@
 		errNoSockets, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM,
 	} {
 		if errors.Is(err, own) {
-			return lemonflow.Ignored // never sent, for want of something of ours: no blame on the backend
+			return balance.Ignored // never sent, for want of something of ours: no blame on the backend
 		}
 	}
-	return lemonflow.ConnectError
+	return balance.ConnectError
 }
 
 // brokenOutcome is the outcome of an attempt whose connection broke: from the moment the write with the
 // request's last byte begins, nobody can know that the backend did not get it.
-func (c *conn) brokenOutcome(ctx context.Context) lemonflow.Outcome {
+func (c *conn) brokenOutcome(ctx context.Context) balance.Outcome {
 	switch {
 	case ctx.Err() != nil:
 		return endedOutcome(ctx)
 	case c.began.Load():
-		return lemonflow.Reset
+		return balance.Reset
 	}
-	return lemonflow.ConnectError
+	return balance.ConnectError
 }
 
-func endedOutcome(ctx context.Context) lemonflow.Outcome {
+func endedOutcome(ctx context.Context) balance.Outcome {
 	if context.Cause(ctx) == errTimedOut {
-		return lemonflow.TimedOut
+		return balance.TimedOut
 	}
-	return lemonflow.Canceled
+	return balance.Canceled
 }
 
 // pool holds the connections to all backends. Its size is bounded by limit, and an idle connection's life by
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"lemonflow"
-	"lemonflow/internal/settings"
+	"brasswell/balance"
+	"brasswell/internal/settings"
 )
 
 const (
@@ -54,16 +54,16 @@
 	} `json:"hosts"`
 }
 
-var states = map[string]lemonflow.State{
-	"up": lemonflow.InService, "draining": lemonflow.Draining, "removed": lemonflow.Gone,
+var states = map[string]balance.State{
+	"up": balance.InService, "draining": balance.Draining, "removed": balance.Gone,
 }
 
 // entries turns a list into the balancer's entries and the addresses to dial, and says what is odd about it. A
 // server whose entry makes no sense is kept as one that drains: it is there, but how to use it is not known.
 // To void the whole list instead would keep every other change from the balancer for as long as that entry
 // stands; to leave the server out would take it for gone.
-func (c *catalog) entries(zones map[string]int) (list []lemonflow.Entry, addresses map[string]string, odd error) {
-	list = make([]lemonflow.Entry, 0, len(c.Hosts))
+func (c *catalog) entries(zones map[string]int) (list []balance.Entry, addresses map[string]string, odd error) {
+	list = make([]balance.Entry, 0, len(c.Hosts))
 	addresses = make(map[string]string, len(c.Hosts))
 	at := make(map[string]int, len(c.Hosts))
 	for _, h := range c.Hosts {
@@ -78,7 +78,7 @@
 		switch {
 		case !known:
 			err = fmt.Errorf("%s: unknown health %q", h.Host, h.Health)
-		case state != lemonflow.InService:
+		case state != balance.InService:
 		case !knownZone:
 			err = fmt.Errorf("%s: unknown site %q", h.Host, h.Site)
 		case dialErr != nil:
@@ -86,9 +86,9 @@
 		}
 		if err != nil {
 			odd = errors.Join(odd, err)
-			state = lemonflow.Draining
+			state = balance.Draining
 		}
-		e := lemonflow.Entry{ID: h.Host, Zone: zone, Cell: h.Block, State: state, Boot: settings.Millis(h.BornMS)}
+		e := balance.Entry{ID: h.Host, Zone: zone, Cell: h.Block, State: state, Boot: settings.Millis(h.BornMS)}
 		addresses[h.Host] = h.Dial
 		if n, twice := at[h.Host]; twice {
 			list[n] = e // the later entry counts
@@ -105,7 +105,7 @@
 	zones  map[string]int
 	client *http.Client
 	log    *slog.Logger
-	update func(lemonflow.ListKind, []lemonflow.Entry, map[string]string)
+	update func(balance.ListKind, []balance.Entry, map[string]string)
 
 	watching atomic.Bool
 	seq      atomic.Int64 // the version held; -1 for none
@@ -176,7 +176,7 @@
 			d.watching.Store(false)
 			if ctx.Err() == nil {
 				d.log.Warn("watch on the server list broke", "error", err)
-				d.update(lemonflow.ListFailed, nil, nil)
+				d.update(balance.ListFailed, nil, nil)
 			}
 			return
 		}
@@ -260,9 +260,9 @@
 	if err != nil {
 		return err
 	}
-	kind := lemonflow.Delta
+	kind := balance.Delta
 	if c.Whole {
-		kind = lemonflow.Full
+		kind = balance.Full
 	}
 	return d.take(c, kind)
 }
@@ -276,8 +276,8 @@
 }
 
 // take passes a list on.
-func (d *discovery) take(c *catalog, kind lemonflow.ListKind) error {
-	if kind == lemonflow.Delta && c.Seq < d.seq.Load() {
+func (d *discovery) take(c *catalog, kind balance.ListKind) error {
+	if kind == balance.Delta && c.Seq < d.seq.Load() {
 		// Another service, or the same one started anew: it counts its versions from elsewhere, and what
 		// it calls changes may not be all that has changed for us.
 		d.seq.Store(-1)
@@ -288,7 +288,7 @@
 		d.log.Warn("server list: some entries make no sense", "error", odd)
 	}
 	d.seq.Store(c.Seq)
-	if kind != lemonflow.Delta || len(list) > 0 {
+	if kind != balance.Delta || len(list) > 0 {
 		d.update(kind, list, addresses)
 	}
 	return nil
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"lemonflow"
+	"brasswell/balance"
 )
 
 // TestMoveOfDiscovery moves while a watch is out at the old address.
@@ -56,12 +56,12 @@
 	if odd == nil {
 		t.Error("nothing is said of the odd entries")
 	}
-	got := map[string]lemonflow.State{}
+	got := map[string]balance.State{}
 	for _, e := range entries {
 		got[e.ID] = e.State
 	}
-	want := map[string]lemonflow.State{
-		"good": lemonflow.InService, "odd": lemonflow.Draining, "nowhere": lemonflow.Draining, "afar": lemonflow.Draining,
+	want := map[string]balance.State{
+		"good": balance.InService, "odd": balance.Draining, "nowhere": balance.Draining, "afar": balance.Draining,
 	}
 	if len(got) != len(want) {
 		t.Fatalf("entries %v, want %v", got, want)
--- a/internal/proxy/instance.go
+++ b/internal/proxy/instance.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"lemonflow"
+	"brasswell/balance"
 )
 
 // message is what a request's attempts carry to backends.
@@ -69,21 +69,21 @@
 	log      *slog.Logger
 
 	mu       sync.Mutex
-	balancer *lemonflow.Balancer
+	balancer *balance.Balancer
 	requests map[string]*request
 	lastID   uint64
 	address  map[string]endpoint // of each server that the list has in service
 	listed   bool                // a list with servers is held
 }
 
-func newInstance(settings lemonflow.Settings, seed uint64, backends *pool, log *slog.Logger) (*instance, error) {
+func newInstance(settings balance.Settings, seed uint64, backends *pool, log *slog.Logger) (*instance, error) {
 	i := &instance{
 		started: time.Now(), backends: backends, log: log,
 		requests: map[string]*request{}, address: map[string]endpoint{},
 	}
 	i.unix = time.Duration(i.started.UnixNano())
 	var err error
-	i.balancer, err = lemonflow.New(settings, seed, i)
+	i.balancer, err = balance.New(settings, seed, i)
 	return i, err
 }
 
@@ -98,7 +98,7 @@
 	i.lastID++
 	q := &request{id: strconv.FormatUint(i.lastID, 36), message: m, final: make(chan final, 1)}
 	i.requests[q.id] = q
-	i.balancer.Submit(i.now(), lemonflow.Request{ID: q.id, Class: class, Tenant: tenant, Left: left})
+	i.balancer.Submit(i.now(), balance.Request{ID: q.id, Class: class, Tenant: tenant, Left: left})
 	i.tidy(q)
 	return q
 }
@@ -148,31 +148,31 @@
 }
 
 // end tells the balancer how an attempt ended, and first answers the request if that served it.
-func (i *instance) end(a *attempt, outcome lemonflow.Outcome, r *reply) {
+func (i *instance) end(a *attempt, outcome balance.Outcome, r *reply) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	a.timer.Stop()
 	a.cancel(nil)
 	q := a.request
 	q.out--
-	if outcome == lemonflow.OK && r != nil {
+	if outcome == balance.OK && r != nil {
 		q.answer(final{verdict: served, reply: r})
 	}
 	now := i.now()
-	i.balancer.Result(now, lemonflow.Result{
+	i.balancer.Result(now, balance.Result{
 		ID: q.id, Attempt: a.number, Outcome: outcome, Latency: now - a.sent, Finished: q.answered,
 	})
 	i.tidy(q)
 }
 
 // update gives the balancer what discovery says. addresses holds where to dial the entries' servers.
-func (i *instance) update(kind lemonflow.ListKind, entries []lemonflow.Entry, addresses map[string]string) {
+func (i *instance) update(kind balance.ListKind, entries []balance.Entry, addresses map[string]string) {
 	i.mu.Lock()
-	if kind == lemonflow.Full || kind == lemonflow.Cached {
+	if kind == balance.Full || kind == balance.Cached {
 		clear(i.address)
 	}
 	for _, e := range entries {
-		if address := addresses[e.ID]; e.State == lemonflow.InService && address != "" {
+		if address := addresses[e.ID]; e.State == balance.InService && address != "" {
 			i.address[e.ID] = endpoint{e.ID, address, e.Boot}
 		} else {
 			delete(i.address, e.ID)
@@ -183,7 +183,7 @@
 	for _, to := range i.address {
 		wanted[to] = true
 	}
-	if kind != lemonflow.ListFailed {
+	if kind != balance.ListFailed {
 		// Within the lock, so that two updates cannot pass each other.
 		i.backends.keep(wanted)
 	}
@@ -208,7 +208,7 @@
 	q.attempts = append(q.attempts, a)
 	q.out++
 	if timeout <= 0 {
-		go i.end(a, lemonflow.Ignored, nil) // its time has expired: never sent
+		go i.end(a, balance.Ignored, nil) // its time has expired: never sent
 		return
 	}
 	go i.run(a)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"lemonflow"
-	"lemonflow/internal/settings"
+	"brasswell/balance"
+	"brasswell/internal/settings"
 )
 
 // Config is all that a proxy is told.
@@ -134,7 +134,7 @@
 			return fmt.Errorf("known: %w", err)
 		}
 	}
-	if err := p.discovery.take(c, lemonflow.Cached); err != nil {
+	if err := p.discovery.take(c, balance.Cached); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
 	return nil
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,8 +17,8 @@
 	"testing"
 	"time"
 
-	"lemonflow"
-	"lemonflow/internal/settings"
+	"brasswell/balance"
+	"brasswell/internal/settings"
 )
 
 func TestMain(m *testing.M) {
@@ -155,15 +155,15 @@
 		Listen: "127.0.0.1:0", Discovery: g.address, Seed: 1, Memory: 64 << 20, Sockets: 256,
 		Known: json.RawMessage(list(1, true, hosts...)), Log: slog.New(slog.DiscardHandler),
 		Settings: &settings.Settings{
-			Balancer: lemonflow.Settings{
+			Balancer: balance.Settings{
 				Instances: 1, MaxAttempts: 3, CanCancel: true,
-				Classes: []lemonflow.Class{
+				Classes: []balance.Class{
 					{Aim: 10 * time.Second, GiveUp: 15 * time.Second, Worth: 1},
 					{
 						Aim: 10 * time.Second, GiveUp: 15 * time.Second, Worth: 1,
-						Effect: lemonflow.Guarded, Group: lemonflow.GroupZone, Window: 10 * time.Second,
+						Effect: balance.Guarded, Group: balance.GroupZone, Window: 10 * time.Second,
 					},
-					{Aim: 10 * time.Second, GiveUp: 15 * time.Second, Worth: 1, Effect: lemonflow.SingleShot},
+					{Aim: 10 * time.Second, GiveUp: 15 * time.Second, Worth: 1, Effect: balance.SingleShot},
 				},
 			},
 			Classes: []string{"search", "hold", "once"}, Tenants: nil, Zones: []string{"kita"},
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"lemonflow"
-	"lemonflow/internal/settings"
+	"brasswell/balance"
+	"brasswell/internal/settings"
 )
 
 const (
@@ -48,7 +48,7 @@
 	callers  *callers
 	classes  map[string]int
 	tenants  map[string]int
-	class    []lemonflow.Class
+	class    []balance.Class
 	leaving  *leaving
 
 	mu   sync.Mutex
@@ -200,9 +200,9 @@
 }
 
 // fits says whether a request's method, key and body are those of its class.
-func (s *server) fits(r *http.Request, effect lemonflow.Effect) error {
-	method, keyed := http.MethodPost, effect == lemonflow.Guarded
-	if effect == lemonflow.Free {
+func (s *server) fits(r *http.Request, effect balance.Effect) error {
+	method, keyed := http.MethodPost, effect == balance.Guarded
+	if effect == balance.Free {
 		method = http.MethodGet
 	}
 	switch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,12 +8,12 @@
 	"math"
 	"time"
 
-	"lemonflow"
+	"brasswell/balance"
 )
 
 // Settings is what the balancer decides from, and beside it what only sockets need.
 type Settings struct {
-	Balancer lemonflow.Settings
+	Balancer balance.Settings
 
 	// Names, each at the position that stands for it in the balancer.
 	Classes, Tenants, Zones []string
@@ -61,15 +61,15 @@
 	} `json:"rules"`
 }
 
-var effects = map[string]lemonflow.Effect{
-	"free": lemonflow.Free, "guarded": lemonflow.Guarded, "single_shot": lemonflow.SingleShot,
+var effects = map[string]balance.Effect{
+	"free": balance.Free, "guarded": balance.Guarded, "single_shot": balance.SingleShot,
 }
 
-var groups = map[string]lemonflow.Group{
-	"": lemonflow.GroupAll, "all": lemonflow.GroupAll, "zone": lemonflow.GroupZone, "cell": lemonflow.GroupCell,
+var groups = map[string]balance.Group{
+	"": balance.GroupAll, "all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell,
 }
 
-// Read takes the settings object apart. Whether the balancer can work with it is for lemonflow.New to say.
+// Read takes the settings object apart. Whether the balancer can work with it is for balance.New to say.
 func Read(raw json.RawMessage) (*Settings, error) {
 	var o object
 	if err := json.Unmarshal(raw, &o); err != nil {
@@ -79,7 +79,7 @@
 		return nil, fmt.Errorf("unknown discovery %q", o.Discovery)
 	}
 	s := &Settings{
-		Balancer: lemonflow.Settings{
+		Balancer: balance.Settings{
 			Self: o.Me, Instances: o.Instances, Layer: o.Layer,
 			OverShareWorth: o.OverShare,
 			MaxAttempts:    o.Limits.MaxAttempts,
@@ -103,14 +103,14 @@
 		if !knownEffect || !knownGroup {
 			return nil, fmt.Errorf("class %d: unknown effect %q or group %q", i, c.Effect, c.Group)
 		}
-		s.Balancer.Classes = append(s.Balancer.Classes, lemonflow.Class{
+		s.Balancer.Classes = append(s.Balancer.Classes, balance.Class{
 			Aim: Millis(c.Aim), GiveUp: Millis(c.GiveUp), Effect: effect, Group: group,
 			Window: Millis(c.Window), Worth: c.Worth, LateWorth: c.LateWorth,
 		})
 		s.Classes = append(s.Classes, c.Name)
 	}
 	for _, r := range o.Realms {
-		s.Balancer.Tenants = append(s.Balancer.Tenants, lemonflow.Tenant{QuotaPerSecond: r.Quota})
+		s.Balancer.Tenants = append(s.Balancer.Tenants, balance.Tenant{QuotaPerSecond: r.Quota})
 		s.Tenants = append(s.Tenants, r.Name)
 	}
 	return s, nil
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"lemonflow"
+	"brasswell/balance"
 )
 
 const whole = `{"instances":8,"me":3,"layer":1,"zone":0,"discovery":"ask","over_share_worth":0.05,"some_new_key":{"a":[1]},
@@ -27,7 +27,7 @@
 	if b.Self != 3 || b.Instances != 8 || b.Layer != 1 || !b.AskForList || b.AskEvery != 10*time.Second || !b.CanCancel {
 		t.Errorf("instance figures: %+v", b)
 	}
-	if got := b.Classes[1]; got.Effect != lemonflow.Guarded || got.Group != lemonflow.GroupZone || got.Window != 7500*time.Millisecond {
+	if got := b.Classes[1]; got.Effect != balance.Guarded || got.Group != balance.GroupZone || got.Window != 7500*time.Millisecond {
 		t.Errorf("class hold: %+v", got)
 	}
 	if strings.Join(s.Classes, " ") != "search hold" || strings.Join(s.Tenants, " ") != "city district" ||
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"lemonflow"
-	"lemonflow/internal/settings"
+	"brasswell/balance"
+	"brasswell/internal/settings"
 )
 
 // maxLine bounds one batch; a fleet's lists run to megabytes.
@@ -23,7 +23,7 @@
 	sc := bufio.NewScanner(in)
 	sc.Buffer(make([]byte, 1<<20), maxLine)
 	w := bufio.NewWriterSize(out, 1<<16)
-	s := &session{instances: map[int]*instance{}, lists: map[int][]lemonflow.Entry{}}
+	s := &session{instances: map[int]*instance{}, lists: map[int][]balance.Entry{}}
 	for line := 1; sc.Scan(); line++ {
 		reply, err := s.batch(sc.Bytes())
 		if err != nil {
@@ -41,7 +41,7 @@
 
 type session struct {
 	instances map[int]*instance
-	lists     map[int][]lemonflow.Entry
+	lists     map[int][]balance.Entry
 	out       []byte
 }
 
@@ -49,7 +49,7 @@
 type instance struct {
 	s      *session
 	who    int
-	b      *lemonflow.Balancer
+	b      *balance.Balancer
 	broken bool
 }
 
@@ -105,24 +105,24 @@
 	if err != nil {
 		return err
 	}
-	inst.run(func(b *lemonflow.Balancer) { call(b, now) })
+	inst.run(func(b *balance.Balancer) { call(b, now) })
 	return nil
 }
 
 // decode reads the event's values and returns the call they stand for.
-func decode(name string, a *args, lists map[int][]lemonflow.Entry) (func(*lemonflow.Balancer, time.Duration), error) {
-	var call func(*lemonflow.Balancer, time.Duration)
+func decode(name string, a *args, lists map[int][]balance.Entry) (func(*balance.Balancer, time.Duration), error) {
+	var call func(*balance.Balancer, time.Duration)
 	switch name {
 	case "submit":
-		r := lemonflow.Request{ID: a.str("tid")}
+		r := balance.Request{ID: a.str("tid")}
 		a.skip(3) // item, write, retry: no decision rests on them
 		r.Tenant = a.optInt("client_group")
 		r.Left = a.dur("patience_left_ms")
 		a.skip(1) // cost_guess_ms
 		r.Class = a.int("category")
-		call = func(b *lemonflow.Balancer, now time.Duration) { b.Submit(now, r) }
+		call = func(b *balance.Balancer, now time.Duration) { b.Submit(now, r) }
 	case "response":
-		r := lemonflow.Result{ID: a.str("tid"), Attempt: a.int("attempt")}
+		r := balance.Result{ID: a.str("tid"), Attempt: a.int("attempt")}
 		a.skip(1) // backend: known from the attempt
 		rc := a.str("rc")
 		var known bool
@@ -131,52 +131,52 @@
 		}
 		r.Latency = a.dur("delay_seen_ms")
 		r.Finished = a.bool("finished")
-		call = func(b *lemonflow.Balancer, now time.Duration) { b.Result(now, r) }
+		call = func(b *balance.Balancer, now time.Duration) { b.Result(now, r) }
 	case "head_received":
 		id, attempt := a.str("tid"), a.int("attempt")
-		call = func(b *lemonflow.Balancer, now time.Duration) { b.Started(now, id, attempt) }
+		call = func(b *balance.Balancer, now time.Duration) { b.Started(now, id, attempt) }
 	case "dropped":
 		id := a.str("tid")
-		call = func(b *lemonflow.Balancer, now time.Duration) { b.Dropped(now, id) }
+		call = func(b *balance.Balancer, now time.Duration) { b.Dropped(now, id) }
 	case "ring":
 		token := a.uint("nonce")
-		call = func(b *lemonflow.Balancer, now time.Duration) { b.Timer(now, token) }
+		call = func(b *balance.Balancer, now time.Duration) { b.Timer(now, token) }
 	case "update":
 		kindName := a.str("kind")
 		kind, known := listKinds[kindName]
 		if !known && a.err == nil {
 			return nil, fmt.Errorf("unknown kind of update %q", kindName)
 		}
-		var entries []lemonflow.Entry
-		if kind != lemonflow.ListFailed {
+		var entries []balance.Entry
+		if kind != balance.ListFailed {
 			a.skip(1) // generation: updates come in order
 			table := a.int("table")
 			if entries, known = lists[table]; !known && a.err == nil {
 				return nil, fmt.Errorf("update names list %d, which was never sent", table)
 			}
 		}
-		call = func(b *lemonflow.Balancer, now time.Duration) { b.Update(now, kind, entries) }
+		call = func(b *balance.Balancer, now time.Duration) { b.Update(now, kind, entries) }
 	case "probe_done", "mail":
 		// Answers to what this module never asks for.
-		call = func(*lemonflow.Balancer, time.Duration) {}
+		call = func(*balance.Balancer, time.Duration) {}
 	default:
 		return nil, fmt.Errorf("unknown event %q", name)
 	}
 	return call, a.err
 }
 
-var outcomes = map[string]lemonflow.Outcome{
-	"Ok": lemonflow.OK, "Failed": lemonflow.Failed, "QueueFull": lemonflow.QueueFull,
-	"TimedOut": lemonflow.TimedOut, "ConnectError": lemonflow.ConnectError,
-	"ResetByPeer": lemonflow.Reset, "Canceled": lemonflow.Canceled, "Ignored": lemonflow.Ignored,
+var outcomes = map[string]balance.Outcome{
+	"Ok": balance.OK, "Failed": balance.Failed, "QueueFull": balance.QueueFull,
+	"TimedOut": balance.TimedOut, "ConnectError": balance.ConnectError,
+	"ResetByPeer": balance.Reset, "Canceled": balance.Canceled, "Ignored": balance.Ignored,
 }
 
-var listKinds = map[string]lemonflow.ListKind{
-	"delta": lemonflow.Delta, "full": lemonflow.Full, "cached": lemonflow.Cached, "failed": lemonflow.ListFailed,
+var listKinds = map[string]balance.ListKind{
+	"delta": balance.Delta, "full": balance.Full, "cached": balance.Cached, "failed": balance.ListFailed,
 }
 
-var states = map[string]lemonflow.State{
-	"in_service": lemonflow.InService, "terminating": lemonflow.Draining, "terminated": lemonflow.Gone,
+var states = map[string]balance.State{
+	"in_service": balance.InService, "terminating": balance.Draining, "terminated": balance.Gone,
 }
 
 func (s *session) open(who int, a *args) error {
@@ -189,7 +189,7 @@
 		return fmt.Errorf("profile_data: %w", err)
 	}
 	inst := &instance{s: s, who: who}
-	if inst.b, err = lemonflow.New(profile.Balancer, seed, inst); err != nil {
+	if inst.b, err = balance.New(profile.Balancer, seed, inst); err != nil {
 		return err
 	}
 	s.instances[who] = inst
@@ -197,7 +197,7 @@
 }
 
 // run turns a panic of the module into a broken action: the day ends with its text, not the process.
-func (i *instance) run(call func(*lemonflow.Balancer)) {
+func (i *instance) run(call func(*balance.Balancer)) {
 	if i.broken {
 		return
 	}
@@ -329,13 +329,13 @@
 func (a *args) float(name string) (v float64)     { a.read(name, &v, true); return v }
 func (a *args) dur(name string) (v time.Duration) { return settings.Millis(a.float(name)) }
 
-func (a *args) entries(name string) []lemonflow.Entry {
+func (a *args) entries(name string) []balance.Entry {
 	var rows [][]json.RawMessage
 	a.read(name, &rows, false)
-	list := make([]lemonflow.Entry, 0, len(rows))
+	list := make([]balance.Entry, 0, len(rows))
 	for _, row := range rows {
 		r := args{fields: row, err: a.err}
-		e := lemonflow.Entry{ID: r.str("backend"), Zone: r.int("locality")}
+		e := balance.Entry{ID: r.str("backend"), Zone: r.int("locality")}
 		r.skip(1) // shape: decisions rest on what is observed, not on the kind's name
 		e.Cell = r.int("stripe")
 		state := r.str("lifecycle")
