--- a/cmd/brasswell/main.go
+++ b/cmd/brasswell/main.go
@@ -51,7 +51,7 @@
 	}
 	p, err := proxy.New(proxy.Config{
 		Listen: c.Listen, Discovery: c.Discovery, Seed: c.seed, Settings: s, Known: c.Known,
-		Memory: memory, Sockets: c.Limits.Sockets, Log: log,
+		Memory: memory, Sockets: c.Limits.Sockets, Options: proxy.DefaultOptions(), Log: log,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/backends/conn.go
@@ -0,0 +1,176 @@
+package backends
+
+import (
+	"brasswell/internal/framing"
+
+	"context"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// conn is one connection to a backend. The socket is wrapped to see what net/http does not tell: whether the
+// request's last byte may be out, and whether bytes came that answer nothing.
+type conn struct {
+	net.Conn
+	pool     *Pool
+	endpoint Endpoint
+	cc       *http.ClientConn
+	framing  framing.Follower // of the answers; used by the one that reads, and once it is done
+
+	last  atomic.Bool // the next write may hold the request's last byte
+	wrote atomic.Bool // a write of this attempt has begun
+	began atomic.Bool // the write with the request's last byte has begun
+
+	// Guarded by pool.mu.
+	inRead   bool // a Read waits on the socket
+	done     bool // the answer is read; to be parked once a Read waits
+	parked   bool
+	parkedAt time.Time
+	retire   *time.Timer
+	rest     *time.Timer // ends an answer that has begun and does not go on
+	closed   bool
+}
+
+func (c *conn) roundTrip(ctx context.Context, m *Message, left time.Duration) (*http.Response, error) {
+	interim := 0
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			if interim++; interim > maxInterim {
+				return errInterim
+			}
+			c.unwatchRest() // the answer proper may be far off
+			return nil
+		},
+	})
+	header := maps.Clone(m.Header)
+	header.Set("X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	req := &http.Request{Method: m.Method, URL: m.target(c.endpoint.Address), Host: m.Host, Header: header, Body: http.NoBody}
+	if m.Body.Size() > 0 {
+		req.Body = &bodyReader{conn: c, data: m.Body.Data()}
+		req.ContentLength = m.Body.Size()
+	} else {
+		c.last.Store(true)
+	}
+	return c.cc.RoundTrip(req.WithContext(ctx))
+}
+
+// target repeats the caller's request line to the byte. A path that begins with two slashes would be taken
+// for a host there, so it goes by its parts.
+func (m *Message) target(address string) *url.URL {
+	u := *m.URL
+	u.Scheme, u.Host, u.User, u.Fragment = "http", address, nil, ""
+	if strings.HasPrefix(m.URI, "/") && !strings.HasPrefix(m.URI, "//") {
+		u.Opaque, u.RawQuery, u.ForceQuery = m.URI, "", false
+	}
+	return &u
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.wrote.Store(true)
+	if c.last.Load() {
+		c.began.Store(true)
+	}
+	return c.Conn.Write(b)
+}
+
+// Read parks the connection once its answer is read and nothing more is buffered: until then bytes that
+// belong to no answer could pass for that of the next request. Bytes that come before this attempt has
+// written anything end the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	p := c.pool
+	p.mu.Lock()
+	c.inRead = true
+	if c.done {
+		c.done = false
+		p.park(c)
+	}
+	p.mu.Unlock()
+
+	n, err := c.Conn.Read(b)
+
+	p.mu.Lock()
+	c.inRead = false
+	stray := n > 0 && (c.parked || !c.wrote.Load())
+	if c.parked {
+		p.unpark(c)
+	}
+	p.mu.Unlock()
+	if stray {
+		return 0, errStray
+	}
+	if n > 0 {
+		c.watchRest()
+		c.framing.Feed(b[:n])
+	}
+	return n, err
+}
+
+// watchRest gives an answer that has begun restWait to come to its end.
+func (c *conn) watchRest() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.rest == nil && !c.closed {
+		c.rest = time.AfterFunc(c.pool.options.AnswerTimeout, c.discard)
+	}
+}
+
+func (c *conn) unwatchRest() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.rest != nil {
+		c.rest.Stop()
+		c.rest = nil
+	}
+}
+
+// Close keeps the count of open connections; net/http calls it whenever it is done with one.
+func (c *conn) Close() error {
+	c.pool.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		c.pool.open--
+		if c.rest != nil {
+			c.rest.Stop()
+		}
+		if c.parked {
+			c.pool.unpark(c)
+		}
+	}
+	c.pool.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// discard ends a connection that must not be used again: after a time-out, a cancel, stray bytes or an answer
+// not read to its end, what comes next on it could be taken for another request's answer.
+func (c *conn) discard() {
+	c.cc.Close()
+	c.Close()
+}
+
+// bodyReader reads a request's body for one attempt and notes when its last byte is handed over.
+type bodyReader struct {
+	conn *conn
+	data []byte
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if len(r.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.data)
+	if r.data = r.data[n:]; len(r.data) == 0 {
+		r.conn.last.Store(true)
+	}
+	return n, nil
+}
+
+func (r *bodyReader) Close() error { return nil }
--- /dev/null
+++ b/internal/backends/options.go
@@ -0,0 +1,39 @@
+package backends
+
+import (
+	"time"
+
+	"brasswell/internal/operator"
+)
+
+// Options are what is expected of backends.
+type Options struct {
+	// AnswerTimeout is how long an answer may take from its first byte to its last. A live backend sends at most
+	// 64 KiB at once; one that falls silent within its answer will not go on, and the time that is left may do
+	// for another attempt. It would harm backends that send an answer as they compute it.
+	AnswerTimeout time.Duration
+	// Settle is how long a connection rests after an answer before it carries another request. What a backend
+	// sends too much mostly comes right behind its answer; on a connection already in use again it would pass
+	// for the next answer. Against what comes later than that this is no help.
+	Settle time.Duration
+}
+
+// DefaultOptions fit backends that may answer with more than belongs to them.
+func DefaultOptions() Options {
+	return Options{AnswerTimeout: 400 * time.Millisecond, Settle: 5 * time.Millisecond}
+}
+
+// Section describes the options to the operator file.
+func (o *Options) Section() operator.Section {
+	return operator.Section{
+		Name:   "backends",
+		Doc:    "What is expected of backends' answers and connections.",
+		Absent: "the defaults hold.",
+		Keys: []operator.Key{
+			operator.Duration("answer_timeout", &o.AnswerTimeout, 10*time.Millisecond, time.Minute,
+				"How long an answer may take from its first byte to its last. Raise it for backends that send an answer as they compute it.").OnReload(),
+			operator.Duration("settle", &o.Settle, 0, time.Second,
+				"How long a connection rests after an answer, so that stray bytes behind it cannot pass for the next one. 0 trusts the backends.").OnReload(),
+		},
+	}
+}
--- /dev/null
+++ b/internal/backends/pool.go
@@ -0,0 +1,246 @@
+package backends
+
+import (
+	"brasswell/internal/framing"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Pool holds the connections to all backends. Its size is bounded by limit, and an idle connection's life by
+// idleFor, which ends before the backend's own patience does.
+//
+// A plain http.Transport would not do: it sends a GET or a keyed request again by itself when a reused
+// connection breaks, behind the balancer's back and maybe a second time.
+type Pool struct {
+	transport      *http.Transport
+	dialer         net.Dialer
+	connectTimeout time.Duration
+	idleFor        time.Duration
+	limit          int
+
+	mu      sync.Mutex
+	options Options
+	closed  bool
+	open    int                  // connections open or being opened
+	idle    map[Endpoint][]*conn // the longest idle first
+	wanted  map[Endpoint]bool    // whose connections are kept
+}
+
+// Limits is what a pool is told. All of it must be above 0, but Control may be nil.
+type Limits struct {
+	Conns          int           // open at one time, to all backends
+	ConnectTimeout time.Duration // a connection not up by then counts as failed
+	ConnIdle       time.Duration // a backend closes a connection that idles for so long
+	// Control is called for each socket before it connects, as net.Dialer has it.
+	Control func(network, address string, c syscall.RawConn) error
+	Options Options
+}
+
+// NewPool returns a pool that keeps no connections until Keep names the endpoints that are wanted.
+func NewPool(l Limits) *Pool {
+	p := &Pool{
+		dialer:         net.Dialer{Control: l.Control},
+		connectTimeout: l.ConnectTimeout,
+		// A request that crosses the backend's close ends as a reset, and may have run for all we know.
+		// The fifth left is for answers that took their time to be read.
+		idleFor: l.ConnIdle * 4 / 5,
+		limit:   l.Conns, options: l.Options,
+		idle: map[Endpoint][]*conn{},
+	}
+	p.transport = &http.Transport{
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHead,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return ctx.Value(dialed{}).(*conn), nil
+		},
+	}
+	return p
+}
+
+// dialed is the context key under which a connection is handed to the transport.
+type dialed struct{}
+
+// get takes the idle connection that was used last and has settled, or opens one.
+func (p *Pool) get(ctx context.Context, to Endpoint) (c *conn, reused bool, err error) {
+	var dead []*conn
+	p.mu.Lock()
+	idle := slices.Clone(p.idle[to])
+	for _, k := range slices.Backward(idle) {
+		rested := time.Since(k.parkedAt)
+		switch {
+		case k.cc.Err() != nil || rested >= p.idleFor:
+			p.unpark(k)
+			dead = append(dead, k)
+			continue
+		case rested < p.options.Settle:
+			continue
+		}
+		p.unpark(k)
+		k.framing = framing.Follower{}
+		for _, flag := range []*atomic.Bool{&k.wrote, &k.last, &k.began} {
+			flag.Store(false)
+		}
+		c = k
+		break
+	}
+	if c == nil && p.open-len(dead) >= p.limit {
+		if oldest := p.oldestIdle(); oldest != nil {
+			p.unpark(oldest)
+			dead = append(dead, oldest)
+		} else {
+			err = errNoSockets
+		}
+	}
+	if c == nil && err == nil {
+		p.open++
+	}
+	p.mu.Unlock()
+	for _, d := range dead {
+		d.discard()
+	}
+	if c != nil || err != nil {
+		return c, c != nil, err
+	}
+	c, err = p.dial(ctx, to)
+	return c, false, err
+}
+
+func (p *Pool) dial(ctx context.Context, to Endpoint) (*conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, p.connectTimeout)
+	defer cancel()
+	nc, err := p.dialer.DialContext(dialCtx, "tcp", to.Address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, fmt.Errorf("connect to %s: %w", to.Address, err)
+	}
+	c := &conn{Conn: nc, pool: p, endpoint: to}
+	if c.cc, err = p.transport.NewClientConn(context.WithValue(ctx, dialed{}, c), "http", to.Address); err != nil {
+		c.Close()
+		return nil, fmt.Errorf("connect to %s: %w", to.Address, err)
+	}
+	return c, nil
+}
+
+// release gives back a connection on which no answer is outstanding.
+func (p *Pool) release(c *conn) {
+	c.unwatchRest()
+	if c.cc.Available() == 0 {
+		c.discard()
+		return
+	}
+	p.mu.Lock()
+	unwanted := p.closed || !p.wanted[c.endpoint]
+	if c.inRead && !unwanted {
+		p.park(c)
+	} else {
+		c.done = true
+	}
+	p.mu.Unlock()
+	if unwanted {
+		c.discard()
+	}
+}
+
+// Keep closes the idle connections to all endpoints but these, now and as they come free.
+func (p *Pool) Keep(wanted map[Endpoint]bool) {
+	p.mu.Lock()
+	p.wanted = wanted
+	var drop []*conn
+	for to, idle := range p.idle {
+		if !wanted[to] {
+			drop = append(drop, idle...)
+		}
+	}
+	p.drop(drop)
+}
+
+// distrust closes the idle connections to an endpoint that does not answer.
+func (p *Pool) distrust(to Endpoint) {
+	p.mu.Lock()
+	p.drop(slices.Clone(p.idle[to]))
+}
+
+// drop unparks and ends connections. It is called with p.mu held and gives it back.
+func (p *Pool) drop(conns []*conn) {
+	for _, c := range conns {
+		p.unpark(c)
+	}
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.discard()
+	}
+}
+
+// park and unpark need p.mu held, and so must not call what takes the connection's own lock.
+func (p *Pool) park(c *conn) {
+	if c.closed {
+		return
+	}
+	c.parked, c.parkedAt = true, time.Now()
+	p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
+	c.retire = time.AfterFunc(p.idleFor, func() {
+		p.mu.Lock()
+		still := c.parked && time.Since(c.parkedAt) >= p.idleFor
+		if still {
+			p.unpark(c)
+		}
+		p.mu.Unlock()
+		if still {
+			c.discard()
+		}
+	})
+}
+
+func (p *Pool) unpark(c *conn) {
+	c.parked = false
+	c.retire.Stop()
+	idle := p.idle[c.endpoint]
+	for i, other := range idle {
+		if other == c {
+			idle = append(idle[:i], idle[i+1:]...)
+			break
+		}
+	}
+	if len(idle) == 0 {
+		delete(p.idle, c.endpoint)
+	} else {
+		p.idle[c.endpoint] = idle
+	}
+}
+
+func (p *Pool) oldestIdle() *conn {
+	var oldest *conn
+	for _, idle := range p.idle {
+		if c := idle[0]; oldest == nil || c.parkedAt.Before(oldest.parkedAt) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
+// SetOptions changes the options while the pool is in use.
+func (p *Pool) SetOptions(o Options) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.options = o
+}
+
+// Close ends the idle connections, and those in use as they come free.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	var idle []*conn
+	for _, conns := range p.idle {
+		idle = append(idle, conns...)
+	}
+	p.drop(idle)
+}
--- a/internal/proxy/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,5 @@
-package proxy
+// Package discovery follows the server list by the protocol that discovery speaks. It decides nothing.
+package discovery
 
 import (
 	"context"
@@ -18,14 +19,6 @@
 )
 
 const (
-	// watchHold is how long a watch asks discovery to wait for news. A watch that has fallen silent is found
-	// out only watchSlack after that, and what changed meanwhile is missed until then: with 20 s a whole
-	// release went by. The shorter, the more calls discovery has to serve; an answer without news holds no
-	// entries.
-	watchHold = 2500 * time.Millisecond
-	// watchSlack on top of that is when a call counts as silent: a machine that is cut off says nothing.
-	// What changed meanwhile counts as told 2 s after the hold, so by then another call must have asked.
-	watchSlack = 1500 * time.Millisecond
 	// plainWait bounds a call that does not hold: discovery works calls off in turn and gives up on them
 	// after 3 s.
 	plainWait = 3500 * time.Millisecond
@@ -38,10 +31,12 @@
 	pushRetry = 250 * time.Millisecond
 	// maxList bounds an answer; a fleet of thousands stays below.
 	maxList = 8 << 20
+	// maxHead bounds the head of an answer.
+	maxHead = 16 << 10
 )
 
-// catalog is discovery's form of a server list, whole or the changes since some version.
-type catalog struct {
+// Catalog is discovery's form of a server list, whole or the changes since some version.
+type Catalog struct {
 	Seq   int64 `json:"seq"`
 	Whole bool  `json:"whole"`
 	Hosts []struct {
@@ -62,7 +57,7 @@
 // server whose entry makes no sense is kept as one that drains: it is there, but how to use it is not known.
 // To void the whole list instead would keep every other change from the balancer for as long as that entry
 // stands; to leave the server out would take it for gone.
-func (c *catalog) entries(zones map[string]int) (list []balance.Entry, addresses map[string]string, odd error) {
+func (c *Catalog) entries(zones map[string]int) (list []balance.Entry, addresses map[string]string, odd error) {
 	list = make([]balance.Entry, 0, len(c.Hosts))
 	addresses = make(map[string]string, len(c.Hosts))
 	at := make(map[string]int, len(c.Hosts))
@@ -100,8 +95,8 @@
 	return list, addresses, odd
 }
 
-// discovery follows the server list.
-type discovery struct {
+// Client follows the server list.
+type Client struct {
 	zones  map[string]int
 	client *http.Client
 	log    *slog.Logger
@@ -112,6 +107,7 @@
 
 	mu      sync.Mutex
 	address string
+	options Options
 	movedAt time.Time
 	hangUp  context.CancelCauseFunc // of the call that is out
 }
@@ -119,8 +115,10 @@
 // errMoved ends the call to an address that is no longer discovery's.
 var errMoved = errors.New("discovery has moved")
 
-func newDiscovery(address string, zones []string, log *slog.Logger) *discovery {
-	d := &discovery{address: address, zones: map[string]int{}, log: log, hangUp: func(error) {}}
+// New returns a client that makes no call yet. update is called with each list, from one goroutine at a time; it
+// takes the addresses to dial beside the entries.
+func New(address string, zones []string, o Options, log *slog.Logger, update func(balance.ListKind, []balance.Entry, map[string]string)) *Client {
+	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}}
 	d.seq.Store(-1)
 	for n, zone := range zones {
 		d.zones[zone] = n
@@ -130,33 +128,33 @@
 		DisableCompression:     true,
 		MaxConnsPerHost:        2, // beside the one in use, one that is just being closed
 		MaxIdleConns:           1,
-		MaxResponseHeaderBytes: maxAnswerHead,
+		MaxResponseHeaderBytes: maxHead,
 	}}
 	return d
 }
 
-// move goes over to another address. The list that is held stays, and so does its version: what has changed
+// Move goes over to another address. The caller sees to it that a Watch runs, for the balancer may be waiting for
+// its time to ask again. The list that is held stays, and so does its version: what has changed
 // since is asked for at the new address.
-func (d *discovery) move(ctx context.Context, address string) {
+func (d *Client) Move(address string) {
 	d.mu.Lock()
 	d.address, d.movedAt = address, time.Now()
 	d.hangUp(errMoved)
 	d.mu.Unlock()
 	d.client.CloseIdleConnections()
-	go d.watch(ctx) // the balancer may be waiting for its time to ask again
 }
 
 // settling says whether discovery has moved lately.
-func (d *discovery) settling() bool {
+func (d *Client) settling() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return !d.movedAt.IsZero() && time.Since(d.movedAt) < moveSettle
 }
 
-// watch follows the changes until a call fails. The next call goes out as soon as the last is answered, so
+// Watch follows the changes until a call fails. The next call goes out as soon as the last is answered, so
 // that what changes in between counts as told by the watch. A call that only stayed silent is repeated once on
 // a new connection: the old one may lead to a machine that was cut off meanwhile.
-func (d *discovery) watch(ctx context.Context) {
+func (d *Client) Watch(ctx context.Context) {
 	if !d.watching.CompareAndSwap(false, true) {
 		return
 	}
@@ -191,33 +189,34 @@
 	}
 }
 
-// follow keeps a watch up where lists are pushed: the balancer does not ask for one there.
-func (d *discovery) follow(ctx context.Context) {
+// Follow keeps a watch up where lists are pushed: the balancer does not ask for one there.
+func (d *Client) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		d.watch(ctx)
+		d.Watch(ctx)
 		sleep(ctx, pushRetry)
 	}
 }
 
 // target is the call to make next and how long it may take; ctx ends with a move.
-func (d *discovery) target(ctx context.Context) (url string, wait time.Duration, _ context.Context) {
+func (d *Client) target(ctx context.Context) (url string, wait time.Duration, _ context.Context) {
 	settling := d.settling()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	options := d.options
 	url, wait = "http://"+d.address+"/catalog/members", plainWait // answers at once with the whole list
 	if seq := d.seq.Load(); seq >= 0 {
-		hold := watchHold
+		hold := options.Hold
 		if settling {
 			hold = moveHold
 		}
 		url += fmt.Sprintf("?from=%d&hold_ms=%d", seq, hold.Milliseconds())
-		wait = hold + watchSlack
+		wait = hold + options.Slack
 	}
 	ctx, d.hangUp = context.WithCancelCause(ctx)
 	return url, wait, ctx
 }
 
-func (d *discovery) call(ctx context.Context) error {
+func (d *Client) call(ctx context.Context) error {
 	url, wait, ctx := d.target(ctx)
 	defer d.hangUpNow()
 	timed, cancel := context.WithTimeout(ctx, wait)
@@ -230,13 +229,13 @@
 }
 
 // hangUpNow frees what the call that has ended holds.
-func (d *discovery) hangUpNow() {
+func (d *Client) hangUpNow() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.hangUp(nil)
 }
 
-func (d *discovery) fetch(ctx context.Context, url string) error {
+func (d *Client) fetch(ctx context.Context, url string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -256,7 +255,7 @@
 	case len(text) > maxList:
 		return fmt.Errorf("discovery's answer is over %d bytes", maxList)
 	}
-	c, err := readCatalog(text)
+	c, err := ReadCatalog(text)
 	if err != nil {
 		return err
 	}
@@ -264,19 +263,20 @@
 	if c.Whole {
 		kind = balance.Full
 	}
-	return d.take(c, kind)
+	return d.Take(c, kind)
 }
 
-func readCatalog(text []byte) (*catalog, error) {
-	c := &catalog{}
+// ReadCatalog reads a list in discovery's form.
+func ReadCatalog(text []byte) (*Catalog, error) {
+	c := &Catalog{}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("server list: %w", err)
 	}
 	return c, nil
 }
 
-// take passes a list on.
-func (d *discovery) take(c *catalog, kind balance.ListKind) error {
+// Take passes a list on.
+func (d *Client) Take(c *Catalog, kind balance.ListKind) error {
 	if kind == balance.Delta && c.Seq < d.seq.Load() {
 		// Another service, or the same one started anew: it counts its versions from elsewhere, and what
 		// it calls changes may not be all that has changed for us.
@@ -293,3 +293,16 @@
 	}
 	return nil
 }
+
+// SetOptions changes the options; they hold from the next call on.
+func (d *Client) SetOptions(o Options) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.options = o
+}
+
+// Version is that of the list that is held, or -1.
+func (d *Client) Version() int64 { return d.seq.Load() }
+
+// CloseIdle ends the connections that no call uses; it is for the end of a proxy.
+func (d *Client) CloseIdle() { d.client.CloseIdleConnections() }
--- /dev/null
+++ b/internal/discovery/options.go
@@ -0,0 +1,47 @@
+package discovery
+
+import (
+	"time"
+
+	"brasswell/internal/operator"
+)
+
+// Options say how discovery is asked.
+type Options struct {
+	// Hold is how long a watch asks discovery to wait for news. A watch that has fallen silent is found out only
+	// Slack after that, and what changed meanwhile is missed until then: with 20 s a whole release went by. The
+	// shorter, the more calls discovery has to serve; an answer without news holds no entries.
+	Hold time.Duration
+	// Slack on top of Hold is when a call counts as silent: a machine that is cut off says nothing. What changed
+	// meanwhile counts as told 2 s after the hold, so by then another call must have asked.
+	Slack time.Duration
+}
+
+// toldAfter is how long after a hold what changed counts as told, by the protocol.
+const toldAfter = 2 * time.Second
+
+// DefaultOptions find a silent discovery within the time after which its news counts as told.
+func DefaultOptions() Options {
+	return Options{Hold: 2500 * time.Millisecond, Slack: 1500 * time.Millisecond}
+}
+
+// Section describes the options to the operator file.
+func (o *Options) Section() operator.Section {
+	return operator.Section{
+		Name:   "discovery",
+		Doc:    "How the server list is asked for.",
+		Absent: "the defaults hold.",
+		Keys: []operator.Key{
+			operator.Duration("hold", &o.Hold, 50*time.Millisecond, time.Minute,
+				"How long a watch waits for news. Shorter finds a silent discovery sooner and costs it more calls.").OnReload(),
+			operator.Duration("slack", &o.Slack, 50*time.Millisecond, 10*time.Second,
+				"How long after that a call counts as silent and is made again.").OnReload(),
+		},
+		Check: func() []operator.Problem {
+			if o.Slack >= toldAfter {
+				return []operator.Problem{{Key: "slack", Text: "must stay under 2s: what changed counts as told 2s after the hold, and by then another call must have asked"}}
+			}
+			return nil
+		},
+	}
+}
--- a/internal/proxy/framing.go
+++ b/internal/framing/framing.go
@@ -1,11 +1,12 @@
-package proxy
+// Package framing looks on as net/http reads messages and notes what that hides about their ends. It has no I/O.
+package framing
 
 import (
 	"bytes"
 	"strconv"
 )
 
-// framing follows where messages begin and end in what one side of a connection sends, and notes the one thing
+// Follower follows where messages begin and end in what one side of a connection sends, and notes the one thing
 // that net/http hides: a head with both Content-Length and Transfer-Encoding. net/http drops the length and
 // goes by the chunks; whoever goes by the length sees the next message begin elsewhere, so that a request can
 // stand inside the body of another (RFC 9112, section 6.1). It only looks on: net/http still reads the message
@@ -15,7 +16,7 @@
 // net/http: it follows no further than the first message with a transfer coding, and what it has not plainly
 // seen to be framed by chunks alone is not taken as such. It might turn away a sound chunked message whose
 // head is written in a way that net/http reads and this does not.
-type framing struct {
+type Follower struct {
 	line   [64]byte // how the line at hand begins
 	filled int
 	start  bool // the start line has been read
@@ -33,8 +34,8 @@
 	codingField = []byte("transfer-encoding")
 )
 
-// feed takes in the bytes that came next.
-func (f *framing) feed(b []byte) {
+// Feed takes in the bytes that came next.
+func (f *Follower) Feed(b []byte) {
 	for len(b) > 0 && !f.lost {
 		if f.skip > 0 {
 			n := min(f.skip, int64(len(b)))
@@ -57,7 +58,7 @@
 	}
 }
 
-func (f *framing) endLine(line []byte) {
+func (f *Follower) endLine(line []byte) {
 	if len(line) == 0 {
 		f.endHead()
 		return
@@ -80,7 +81,7 @@
 	}
 }
 
-func (f *framing) endHead() {
+func (f *Follower) endHead() {
 	f.lost = f.lost || f.hasCoding
 	f.chunked = f.hasCoding && !f.hasLength
 	if !f.next {
@@ -88,3 +89,6 @@
 	}
 	f.start, f.next, f.hasLength, f.hasCoding, f.length = false, false, false, false, 0
 }
+
+// Chunked says whether the message with which it stopped is framed by chunks and no length.
+func (f *Follower) Chunked() bool { return f.chunked }
--- /dev/null
+++ b/internal/framing/framing_test.go
@@ -0,0 +1,32 @@
+package framing
+
+import "testing"
+
+func TestFramingFollowsMessages(t *testing.T) {
+	const te = "Transfer-Encoding: chunked\r\n"
+	for name, c := range map[string]struct {
+		text    string
+		chunked bool
+	}{
+		"chunks":               {"POST / HTTP/1.1\r\n" + te + "\r\n", true},
+		"both":                 {"POST / HTTP/1.1\r\nContent-Length: 4\r\n" + te + "\r\n", false},
+		"both, other order":    {"POST / HTTP/1.1\r\n" + te + "CONTENT-LENGTH : 4\n\n", false},
+		"behind a body":        {"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\na\n\nPOST / HTTP/1.1\r\n" + te + "\r\n", true},
+		"fields within a body": {"POST / HTTP/1.1\r\nContent-Length: 28\r\n\r\n" + te + "POST / HTTP/1.1\r\nContent-Length: 1\r\n" + te + "\r\n", false},
+		"behind 1xx":           {"HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\n" + te + "\r\n", true},
+		"no number":            {"POST / HTTP/1.1\r\nContent-Length: ten\r\n" + te + "\r\n", false},
+		"none":                 {"GET / HTTP/1.1\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for step := 1; step <= len(c.text); step++ {
+				var f Follower
+				for b := []byte(c.text); len(b) > 0; b = b[min(step, len(b)):] {
+					f.Feed(b[:min(step, len(b))])
+				}
+				if f.Chunked() != c.chunked {
+					t.Fatalf("in pieces of %d: chunked %t", step, f.Chunked())
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,298 @@
+// Package front answers callers over HTTP/1.1: it checks what they ask, hands it to a balancer's host and
+// writes the one final answer. It decides nothing.
+package front
+
+import (
+	"brasswell/balance"
+	"brasswell/internal/backends"
+	"brasswell/internal/body"
+	"brasswell/internal/callers"
+	"brasswell/internal/host"
+	"brasswell/internal/restart"
+	"brasswell/internal/settings"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// leftoverWait is how long what is left of a request that is turned away may hold its connection.
+	leftoverWait = 100 * time.Millisecond
+)
+
+// hopByHop are the headers that concern one connection only, and those that the proxy writes itself.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Content-Length",
+}
+
+// Front is the callers' side.
+type Front struct {
+	instance *host.Instance
+	bodies   *body.Budget
+	callers  *callers.Set
+	classes  map[string]int
+	tenants  map[string]int
+	class    []balance.Class
+	restart  *restart.Restart
+	options  atomic.Pointer[Options]
+
+	mu   sync.Mutex
+	open map[string]struct{} // the ids of the requests that are not answered yet
+}
+
+// New returns a front that hands requests to i. bodies and callers may be shared with other fronts.
+func New(s *settings.Settings, i *host.Instance, bodies *body.Budget, callers *callers.Set, r *restart.Restart, o Options) *Front {
+	srv := &Front{
+		instance: i, bodies: bodies, callers: callers, restart: r,
+		classes: map[string]int{}, tenants: map[string]int{}, class: s.Balancer.Classes,
+		open: map[string]struct{}{},
+	}
+	srv.options.Store(&o)
+	for n, name := range s.Classes {
+		srv.classes[name] = n
+	}
+	for n, name := range s.Tenants {
+		srv.tenants[name] = n
+	}
+	return srv
+}
+
+func (s *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.restart.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/_health" {
+		s.health(w)
+		return
+	}
+	ask, err := s.read(r)
+	if err != nil {
+		s.turnAway(w, http.StatusBadRequest, err)
+		return
+	}
+	if !s.begin(ask.id) {
+		s.turnAway(w, http.StatusConflict, fmt.Errorf("%s: a request with this id is open", IDField))
+		return
+	}
+	defer s.finish(ask.id)
+	if s.callers.Crowded() {
+		// All sockets are busy. The request was never sent, so trying again is harmless.
+		s.turnAway(w, http.StatusServiceUnavailable, errors.New("too many connections"))
+		return
+	}
+	kept, err := s.readBody(w, r)
+	switch {
+	case errors.Is(err, body.ErrTooLarge):
+		s.turnAway(w, http.StatusRequestEntityTooLarge, err)
+	case errors.Is(err, body.ErrNoRoom):
+		s.turnAway(w, http.StatusServiceUnavailable, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		s.turnAway(w, http.StatusRequestTimeout, err)
+	case err != nil:
+		s.turnAway(w, http.StatusBadRequest, err)
+	default:
+		s.serve(w, r, ask, kept)
+	}
+}
+
+// turnAway answers a request that is not taken on, and ends its connection: what else stands on it may be a body
+// that nobody has read. net/http still reads some of that, and would wait for a body that never comes.
+func (s *Front) turnAway(w http.ResponseWriter, status int, err error) {
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(leftoverWait))
+	control.SetWriteDeadline(time.Now().Add(s.options.Load().WriteTimeout))
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
+func (s *Front) serve(w http.ResponseWriter, r *http.Request, ask ask, kept *body.Body) {
+	if r.TransferEncoding != nil {
+		w.Header().Set("Connection", "close") // framing does not follow it past the chunks
+	}
+	q := s.instance.Submit(newMessage(r, kept), ask.class, ask.tenant, s.restart.Cap(ask.left))
+	var f host.Final
+	select {
+	case f = <-q.Final():
+	case <-r.Context().Done():
+		s.instance.Drop(q)
+		f = <-q.Final()
+	case <-s.restart.Over():
+		s.instance.Drop(q)
+		f = <-q.Final()
+	}
+	s.answer(w, f)
+}
+
+// begin notes a request's id until finish, unless a request with that id is open.
+func (s *Front) begin(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.open[id]; open {
+		return false
+	}
+	s.open[id] = struct{}{}
+	return true
+}
+
+func (s *Front) finish(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, id)
+}
+
+// The protocol's fields that the proxy goes by.
+const (
+	IDField        = "X-Txn"
+	ClassField     = "X-Lane"
+	TenantField    = "X-Org"
+	RemainingField = "X-Remaining-Ms"
+	KeyField       = "Idempotency-Key"
+)
+
+// ask is what a request's head asks for.
+type ask struct {
+	id            string
+	class, tenant int
+	left          time.Duration
+}
+
+// read takes a request's head, or says what is wrong with it. Nothing in it is guessed: a deadline or class made
+// up for a caller that sends nonsense would reach the backends, and the balancer would learn from it.
+func (s *Front) read(r *http.Request) (ask, error) {
+	var a ask
+	for _, field := range []string{IDField, ClassField, TenantField, RemainingField, KeyField} {
+		if len(r.Header[field]) > 1 {
+			return a, fmt.Errorf("%s: given more than once", field)
+		}
+	}
+	if r.TransferEncoding != nil && !chunked(r) {
+		return a, errors.New("both Content-Length and Transfer-Encoding")
+	}
+	if a.id = r.Header.Get(IDField); a.id == "" {
+		return a, fmt.Errorf("%s: missing", IDField)
+	}
+	var known bool
+	if a.class, known = s.classes[r.Header.Get(ClassField)]; !known {
+		return a, fmt.Errorf("%s: unknown class %q", ClassField, r.Header.Get(ClassField))
+	}
+	if a.tenant, known = s.tenants[r.Header.Get(TenantField)]; !known {
+		a.tenant = -1 // the balancer has no quota for it
+	}
+	ms, err := strconv.ParseInt(r.Header.Get(RemainingField), 10, 64)
+	if err != nil {
+		return a, fmt.Errorf("%s: %q is no whole number", RemainingField, r.Header.Get(RemainingField))
+	}
+	a.left = min(settings.Millis(float64(ms)), s.class[a.class].GiveUp)
+	return a, s.fits(r, s.class[a.class].Effect)
+}
+
+// fits says whether a request's method, key and body are those of its class.
+func (s *Front) fits(r *http.Request, effect balance.Effect) error {
+	method, keyed := http.MethodPost, effect == balance.Guarded
+	if effect == balance.Free {
+		method = http.MethodGet
+	}
+	switch {
+	case r.Method != method:
+		return fmt.Errorf("%s does not fit the class, %s does", r.Method, method)
+	case keyed && r.Header.Get(KeyField) == "":
+		return fmt.Errorf("%s: missing, though the class needs it", KeyField)
+	case !keyed && r.Header[KeyField] != nil:
+		return fmt.Errorf("%s: given, though the class has none", KeyField)
+	case method == http.MethodGet && r.ContentLength != 0:
+		return errors.New("a GET has no body")
+	}
+	return nil
+}
+
+func (s *Front) health(w http.ResponseWriter) {
+	if s.restart.Begun() || !s.instance.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// readBody reads the request to its last byte.
+func (s *Front) readBody(w http.ResponseWriter, r *http.Request) (*body.Body, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(s.options.Load().BodyTimeout))
+	b, err := body.Read(r.Body, r.ContentLength, s.bodies)
+	if err == nil {
+		// A deadline left standing would later look as if the caller had gone.
+		control.SetReadDeadline(time.Time{})
+	}
+	return b, err
+}
+
+func newMessage(r *http.Request, kept *body.Body) *backends.Message {
+	header := endToEnd(r.Header)
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	return &backends.Message{Method: r.Method, URI: r.RequestURI, URL: r.URL, Host: r.Host, Header: header, Body: kept}
+}
+
+// endToEnd copies the headers that are not for one connection alone.
+func endToEnd(h http.Header) http.Header {
+	c := h.Clone()
+	for _, field := range h["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			c.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(c, name)
+	}
+	return c
+}
+
+// answer writes the one final answer.
+func (s *Front) answer(w http.ResponseWriter, f host.Final) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.Load().WriteTimeout))
+	header := w.Header()
+	if s.restart.Closing() {
+		header.Set("Connection", "close")
+	}
+	switch f.Verdict {
+	case host.Refused:
+		if f.Wait > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(f.Wait.Seconds(), 'f', 3, 64))
+		}
+		http.Error(w, "refused: trying again is harmless", http.StatusServiceUnavailable)
+		return
+	case host.Failed:
+		http.Error(w, "failed", http.StatusBadGateway)
+		return
+	}
+	for name, values := range endToEnd(f.Reply.Header) {
+		header[name] = values
+	}
+	if header["Content-Type"] == nil {
+		header["Content-Type"] = nil // keeps net/http from guessing
+	}
+	header.Set("Content-Length", strconv.Itoa(len(f.Reply.Body)))
+	w.WriteHeader(http.StatusOK)
+	w.Write(f.Reply.Body)
+}
+
+// chunked says whether the request's body is framed by chunks and no length, as far as its connection shows.
+func chunked(r *http.Request) bool {
+	c := callers.ConnOf(r)
+	return c != nil && c.Chunked()
+}
+
+// SetOptions changes the options that can change while serving: not HeadTimeout, IdleTimeout and MaxHead, which
+// the HTTP server has taken over.
+func (s *Front) SetOptions(o Options) {
+	s.options.Store(&o)
+	s.callers.SetOnceIdle(o.OnceIdle)
+}
--- a/internal/proxy/instance.go
+++ b/internal/host/host.go
@@ -1,57 +1,50 @@
-package proxy
+// Package host hosts one balancer: it feeds it events and carries its actions out. It decides nothing.
+package host
 
 import (
 	"context"
 	"log/slog"
-	"net/http"
-	"net/url"
 	"strconv"
 	"sync"
 	"time"
 
 	"brasswell/balance"
+	"brasswell/internal/backends"
 )
 
-// message is what a request's attempts carry to backends.
-type message struct {
-	method, uri, host string
-	url               *url.URL
-	header            http.Header // never written to: attempts share it
-	body              *body
-}
-
-// verdict is how a request is answered.
-type verdict int
+// Verdict is how a request is answered.
+type Verdict int
 
+// The verdicts.
 const (
-	failed verdict = iota
-	refused
-	served
+	Failed Verdict = iota
+	Refused
+	Served
 )
 
-// final is the one answer that a request gets.
-type final struct {
-	verdict verdict
-	reply   *reply        // of a served request
-	wait    time.Duration // for how long a refused caller is asked to stay away; 0 for no advice
+// Final is the one answer that a request gets.
+type Final struct {
+	Verdict Verdict
+	Reply   *backends.Reply // of a served request
+	Wait    time.Duration   // for how long a refused caller is asked to stay away; 0 for no advice
 }
 
-// request is one request from its submission until it is answered and its last attempt has ended. Its life is
+// Request is one request from its submission until it is answered and its last attempt has ended. Its life is
 // bounded by its deadline: attempts time out by then, and the balancer answers what is left.
-type request struct {
+type Request struct {
 	id       string
-	message  *message
+	message  *backends.Message
 	attempts []*attempt
 	out      int
 	answered bool
-	final    chan final // takes exactly one, without blocking
+	final    chan Final // takes exactly one, without blocking
 }
 
 // attempt is one send of a request.
 type attempt struct {
-	request *request
+	request *Request
 	number  int
-	to      endpoint
+	to      backends.Endpoint
 	sent    time.Duration
 	end     time.Duration // when the proxy stops waiting
 	ctx     context.Context
@@ -59,27 +52,30 @@
 	timer   *time.Timer
 }
 
-// instance hosts one balancer. It is the balancer's Host: the calls come while mu is held, so none of them may
+// Instance hosts one balancer. It is the balancer's Host: the calls come while mu is held, so none of them may
 // block or call back; what takes time runs in a goroutine of its own and comes back through an event.
-type instance struct {
+type Instance struct {
 	started  time.Time
 	unix     time.Duration // Unix time at started
-	backends *pool
+	backends *backends.Pool
 	watch    func() // starts a watch on the server list
 	log      *slog.Logger
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
-	requests map[string]*request
+	requests map[string]*Request
 	lastID   uint64
-	address  map[string]endpoint // of each server that the list has in service
-	listed   bool                // a list with servers is held
+	address  map[string]backends.Endpoint // of each server that the list has in service
+	listed   bool                         // a list with servers is held
+	closed   bool
+	running  sync.WaitGroup // attempts that are out
 }
 
-func newInstance(settings balance.Settings, seed uint64, backends *pool, log *slog.Logger) (*instance, error) {
-	i := &instance{
-		started: time.Now(), backends: backends, log: log,
-		requests: map[string]*request{}, address: map[string]endpoint{},
+// New returns an instance that knows no servers yet. watch starts a watch on the server list; it must not block.
+func New(settings balance.Settings, seed uint64, pool *backends.Pool, watch func(), log *slog.Logger) (*Instance, error) {
+	i := &Instance{
+		started: time.Now(), backends: pool, watch: watch, log: log,
+		requests: map[string]*Request{}, address: map[string]backends.Endpoint{},
 	}
 	i.unix = time.Duration(i.started.UnixNano())
 	var err error
@@ -88,36 +84,36 @@
 }
 
 // now is Unix time, as the list's start times are, but never steps back.
-func (i *instance) now() time.Duration { return i.unix + time.Since(i.started) }
+func (i *Instance) now() time.Duration { return i.unix + time.Since(i.started) }
 
-// submit hands a request to the balancer. Its clock starts here, when its last byte has been read. The ids are
+// Submit hands a request to the balancer. Its clock starts here, when its last byte has been read. The ids are
 // our own: callers may use theirs again, and the balancer takes a known id for one it already has.
-func (i *instance) submit(m *message, class, tenant int, left time.Duration) *request {
+func (i *Instance) Submit(m *backends.Message, class, tenant int, left time.Duration) *Request {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.lastID++
-	q := &request{id: strconv.FormatUint(i.lastID, 36), message: m, final: make(chan final, 1)}
+	q := &Request{id: strconv.FormatUint(i.lastID, 36), message: m, final: make(chan Final, 1)}
 	i.requests[q.id] = q
 	i.balancer.Submit(i.now(), balance.Request{ID: q.id, Class: class, Tenant: tenant, Left: left})
 	i.tidy(q)
 	return q
 }
 
-// drop tells the balancer that a request's caller has gone: callers give a request up by closing the connection
+// Drop tells the balancer that a request's caller has gone: callers give a request up by closing the connection
 // or ending their sending on it. What is still out for it is called off.
-func (i *instance) drop(q *request) {
+func (i *Instance) Drop(q *Request) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if q.answered {
 		return
 	}
-	q.answer(final{verdict: failed})
+	q.answer(Final{Verdict: Failed})
 	i.balancer.Dropped(i.now(), q.id)
 	i.tidy(q)
 }
 
 // answer decides a request's final answer; the first one stands.
-func (q *request) answer(f final) bool {
+func (q *Request) answer(f Final) bool {
 	if q.answered {
 		return false
 	}
@@ -127,28 +123,28 @@
 }
 
 // tidy forgets a request that is over.
-func (i *instance) tidy(q *request) {
+func (i *Instance) tidy(q *Request) {
 	if q.answered && q.out == 0 {
 		delete(i.requests, q.id)
-		q.message.body.release()
+		q.message.Body.Release()
 	}
 }
 
 // run carries an attempt out.
-func (i *instance) run(a *attempt) {
-	outcome, r := i.backends.exchange(a.ctx, a.to, a.request.message, func() (time.Duration, bool) {
+func (i *Instance) run(a *attempt) {
+	outcome, r := i.backends.Exchange(a.ctx, a.to, a.request.message, func() (time.Duration, bool) {
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		left := a.end - i.now()
 		// While the connection came up, the list may have said that the server drains or is gone.
-		listed := i.address[a.to.server] == a.to
+		listed := i.address[a.to.Server] == a.to
 		return left, listed && left > 0 && !a.request.answered && a.ctx.Err() == nil
 	})
 	i.end(a, outcome, r)
 }
 
 // end tells the balancer how an attempt ended, and first answers the request if that served it.
-func (i *instance) end(a *attempt, outcome balance.Outcome, r *reply) {
+func (i *Instance) end(a *attempt, outcome balance.Outcome, r *backends.Reply) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	a.timer.Stop()
@@ -156,7 +152,7 @@
 	q := a.request
 	q.out--
 	if outcome == balance.OK && r != nil {
-		q.answer(final{verdict: served, reply: r})
+		q.answer(Final{Verdict: Served, Reply: r})
 	}
 	now := i.now()
 	i.balancer.Result(now, balance.Result{
@@ -165,87 +161,116 @@
 	i.tidy(q)
 }
 
-// update gives the balancer what discovery says. addresses holds where to dial the entries' servers.
-func (i *instance) update(kind balance.ListKind, entries []balance.Entry, addresses map[string]string) {
+// Update gives the balancer what discovery says. addresses holds where to dial the entries' servers.
+func (i *Instance) Update(kind balance.ListKind, entries []balance.Entry, addresses map[string]string) {
 	i.mu.Lock()
 	if kind == balance.Full || kind == balance.Cached {
 		clear(i.address)
 	}
 	for _, e := range entries {
 		if address := addresses[e.ID]; e.State == balance.InService && address != "" {
-			i.address[e.ID] = endpoint{e.ID, address, e.Boot}
+			i.address[e.ID] = backends.Endpoint{Server: e.ID, Address: address, Boot: e.Boot}
 		} else {
 			delete(i.address, e.ID)
 		}
 	}
 	i.listed = i.listed || len(i.address) > 0
-	wanted := make(map[endpoint]bool, len(i.address))
+	wanted := make(map[backends.Endpoint]bool, len(i.address))
 	for _, to := range i.address {
 		wanted[to] = true
 	}
 	if kind != balance.ListFailed {
 		// Within the lock, so that two updates cannot pass each other.
-		i.backends.keep(wanted)
+		i.backends.Keep(wanted)
 	}
 	i.balancer.Update(i.now(), kind, entries)
 	i.mu.Unlock()
 }
 
-// ready says whether there is a server to send to.
-func (i *instance) ready() bool {
+// Ready says whether there is a server to send to.
+func (i *Instance) Ready() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return i.listed
 }
 
 // Send starts an attempt.
-func (i *instance) Send(id, server string, timeout time.Duration) {
+func (i *Instance) Send(id, server string, timeout time.Duration) {
 	q := i.requests[id]
 	now := i.now()
 	a := &attempt{request: q, number: len(q.attempts), to: i.address[server], sent: now, end: now + timeout}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
-	a.timer = time.AfterFunc(timeout, func() { a.cancel(errTimedOut) })
+	a.timer = time.AfterFunc(timeout, func() { a.cancel(backends.ErrTimedOut) })
 	q.attempts = append(q.attempts, a)
 	q.out++
-	if timeout <= 0 {
-		go i.end(a, balance.Ignored, nil) // its time has expired: never sent
-		return
-	}
-	go i.run(a)
+	i.running.Go(func() {
+		if timeout <= 0 || i.isClosed() {
+			i.end(a, balance.Ignored, nil) // its time has expired: never sent
+			return
+		}
+		i.run(a)
+	})
 }
 
 // Refuse answers a request so that trying again is harmless.
-func (i *instance) Refuse(id string, wait time.Duration) {
-	i.decide(id, final{verdict: refused, wait: wait})
+func (i *Instance) Refuse(id string, wait time.Duration) {
+	i.decide(id, Final{Verdict: Refused, Wait: wait})
 }
 
 // Fail answers a request without a promise.
-func (i *instance) Fail(id string) { i.decide(id, final{verdict: failed}) }
+func (i *Instance) Fail(id string) { i.decide(id, Final{Verdict: Failed}) }
 
-func (i *instance) decide(id string, f final) {
+func (i *Instance) decide(id string, f Final) {
 	if q := i.requests[id]; q != nil {
 		q.answer(f)
 	}
 }
 
 // Cancel stops waiting for an attempt.
-func (i *instance) Cancel(id string, attempt int) {
+func (i *Instance) Cancel(id string, attempt int) {
 	if q := i.requests[id]; q != nil && attempt < len(q.attempts) {
-		q.attempts[attempt].cancel(errCanceled)
+		q.attempts[attempt].cancel(backends.ErrCanceled)
 	}
 }
 
 // SetTimer asks for one Timer event. Timers are never withdrawn; none outlives the longest deadline by much.
-func (i *instance) SetTimer(delay time.Duration, token uint64) {
+func (i *Instance) SetTimer(delay time.Duration, token uint64) {
 	time.AfterFunc(delay, func() {
 		i.mu.Lock()
 		defer i.mu.Unlock()
+		if i.closed {
+			return
+		}
 		i.balancer.Timer(i.now(), token)
 	})
 }
 
 // Watch subscribes to the server list.
-func (i *instance) Watch() { i.watch() }
+func (i *Instance) Watch() { i.watch() }
 
 // Log writes a line for people.
-func (i *instance) Log(line string) { i.log.Info(line) }
+func (i *Instance) Log(line string) { i.log.Info(line) }
+
+// Final takes exactly one final answer; it never stays empty past the request's time.
+func (q *Request) Final() <-chan Final { return q.final }
+
+func (i *Instance) isClosed() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.closed
+}
+
+// Close ends the instance: it calls off what is out, fails what is open, and returns once no attempt runs. It is
+// for the end of a proxy, when nobody waits for an answer any more.
+func (i *Instance) Close() {
+	i.mu.Lock()
+	i.closed = true
+	for _, q := range i.requests {
+		q.answer(Final{Verdict: Failed})
+		for _, a := range q.attempts {
+			a.cancel(backends.ErrCanceled)
+		}
+	}
+	i.mu.Unlock()
+	i.running.Wait()
+}
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -27,7 +27,7 @@
 			t.Parallel()
 			bad := newBackend(t, "127.0.0.1:0", func(string) string { return spoilt })
 			good := newBackend(t, "127.0.0.1:0", whole)
-			g := newRig(t, nil, host("s1", bad.address, "up"), host("s2", good.address, "up"))
+			g := newRig(t, nil, entry("s1", bad.address, "up"), entry("s2", good.address, "up"))
 			c := g.dial()
 			for i := range 2 { // in turn, so one of them meets the spoilt answer first
 				id := fmt.Sprint("r", i)
@@ -41,7 +41,7 @@
 		t.Run(name+", once", func(t *testing.T) {
 			t.Parallel()
 			bad := newBackend(t, "127.0.0.1:0", func(string) string { return spoilt })
-			g := newRig(t, nil, host("s1", bad.address, "up"))
+			g := newRig(t, nil, entry("s1", bad.address, "up"))
 			status, _ := g.dial().send(strings.Replace(strings.Replace(head("a"), "search", "once", 1), "GET", "POST", 1)).answer()
 			if status != 502 {
 				t.Fatalf("answered %d", status)
@@ -62,7 +62,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			b := newBackend(t, "127.0.0.1:0", reply)
-			c := newRig(t, nil, host("s1", b.address, "up")).dial()
+			c := newRig(t, nil, entry("s1", b.address, "up")).dial()
 			for i := range 20 {
 				id := fmt.Sprint("r", i)
 				if status, body := c.send(head(id)).answer(); status != 200 || body != id {
@@ -76,12 +76,11 @@
 // TestNewServerAtAnOldAddressGetsNewConnections replaces a server by another at the same address.
 func TestNewServerAtAnOldAddressGetsNewConnections(t *testing.T) {
 	b := newBackend(t, "127.0.0.1:0", whole)
-	g := newRig(t, nil, host("old", b.address, "up"))
-	go g.discovery.follow(g.watching)
+	g := newRig(t, nil, entry("old", b.address, "up"))
 	c := g.dial()
 	c.send(head("a")).answer()
 	await(t, "the first connection", b.conns)
-	g.registry.lists <- list(2, true, host("new", b.address, "up"))
+	g.registry.lists <- list(2, true, entry("new", b.address, "up"))
 	await(t, "the close of what was held to the old server", b.gone)
 	if status, _ := c.send(head("b")).answer(); status != 200 {
 		t.Fatalf("answered %d", status)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,5 +1,6 @@
-// Package proxy carries a balancer's decisions out on real sockets: callers on one side, backends on the
-// other, and discovery, which names the backends. It decides nothing.
+// Package proxy puts one proxy together: a front for callers, a host for the balancer, connections to backends,
+// and discovery, which names them. A process may run several, each with a balancer of its own; they share
+// nothing. It decides nothing.
 package proxy
 
 import (
@@ -10,10 +11,18 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
 	"brasswell/balance"
+	"brasswell/internal/backends"
+	"brasswell/internal/body"
+	"brasswell/internal/callers"
+	"brasswell/internal/discovery"
+	"brasswell/internal/front"
+	"brasswell/internal/host"
+	"brasswell/internal/restart"
 	"brasswell/internal/settings"
 )
 
@@ -26,6 +35,7 @@
 	Known     json.RawMessage // the server list as last had, in discovery's form; may be absent
 	Memory    int64           // bytes
 	Sockets   int
+	Options   Options
 	Log       *slog.Logger
 }
 
@@ -64,16 +74,23 @@
 
 // Proxy is one proxy.
 type Proxy struct {
-	listener  *roomyListener
-	server    *server
-	discovery *discovery
+	listener  *callers.Listener
+	callers   *callers.Set
+	restart   *restart.Restart
+	front     *front.Front
+	host      *host.Instance
+	backends  *backends.Pool
+	discovery *discovery.Client
 	http      *http.Server
-	watching  context.Context
-	stop      context.CancelFunc // of the watch
 	log       *slog.Logger
+
+	watching context.Context
+	stop     context.CancelFunc // of the watch
+	watches  sync.WaitGroup
 }
 
-// New checks the configuration, opens the listener and begins to watch; nothing is answered before Serve.
+// New checks the configuration, opens the listener and begins to watch; nothing is answered before Serve. A proxy
+// that is not served must be closed.
 func New(c Config) (*Proxy, error) {
 	s := c.Settings
 	if s.ConnectTimeout <= 0 {
@@ -84,80 +101,90 @@
 	}
 	sockets := float64(c.Sockets - reservedSockets)
 	buffers := socketBuffers(c.Memory, c.Sockets)
-	backends := newPool(int(backendShare*sockets), s.ConnectTimeout, s.ConnIdle)
-	backends.dialer.Control = buffers
-	i, err := newInstance(s.Balancer, c.Seed, backends, c.Log)
-	if err != nil {
-		return nil, err
-	}
-	bodies := &budget{}
-	bodies.left.Store(int64(bodyShare * float64(c.Memory)))
-	callers := newCallers(int(callerShare*sockets), int(crowdShare*sockets))
 	p := &Proxy{
-		server: newServer(s, i, bodies, callers), log: c.Log,
+		callers: callers.NewSet(int(callerShare*sockets), int(crowdShare*sockets), c.Options.Callers.OnceIdle),
+		restart: restart.New(), log: c.Log,
+		backends: backends.NewPool(backends.Limits{
+			Conns: int(backendShare * sockets), ConnectTimeout: s.ConnectTimeout, ConnIdle: s.ConnIdle,
+			Control: buffers, Options: c.Options.Backends,
+		}),
+	}
+	p.watching, p.stop = context.WithCancel(context.Background())
+	var err error
+	if p.host, err = host.New(s.Balancer, c.Seed, p.backends, p.watch, c.Log); err != nil {
+		p.stop()
+		return nil, err
 	}
-	p.discovery = newDiscovery(c.Discovery, s.Zones, c.Log)
-	p.discovery.update = i.update
+	p.discovery = discovery.New(c.Discovery, s.Zones, c.Options.Discovery, c.Log, p.host.Update)
 	l, err := (&net.ListenConfig{Control: buffers}).Listen(context.Background(), "tcp", c.Listen)
 	if err != nil {
+		p.stop()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	p.listener = &roomyListener{Listener: l, callers: callers}
+	p.listener = p.callers.Listen(l)
+	p.front = front.New(s, p.host, body.NewBudget(int64(bodyShare*float64(c.Memory))), p.callers, p.restart, c.Options.Callers)
 	p.http = &http.Server{
-		Handler:           p.server,
-		ReadHeaderTimeout: headWait,
-		IdleTimeout:       idleWait,
-		MaxHeaderBytes:    maxHead,
-		ConnState:         callers.track,
-		ConnContext:       withCaller,
+		Handler:           p.front,
+		ReadHeaderTimeout: c.Options.Callers.HeadTimeout,
+		IdleTimeout:       c.Options.Callers.IdleTimeout,
+		MaxHeaderBytes:    int(c.Options.Callers.MaxHead),
+		ConnState:         p.callers.Track,
+		ConnContext:       callers.WithConn,
 		ErrorLog:          slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug),
 	}
-	p.watching, p.stop = context.WithCancel(context.Background())
-	i.watch = func() { go p.discovery.watch(p.watching) }
 	if err := p.known(c.Known); err != nil {
-		p.stop()
-		l.Close()
+		p.Close()
 		return nil, err
 	}
 	if !s.Balancer.AskForList {
-		go p.discovery.follow(p.watching)
+		p.watches.Go(func() { p.discovery.Follow(p.watching) })
 	}
 	return p, nil
 }
 
+// watch starts a watch on the server list, which ends with the first call that fails.
+func (p *Proxy) watch() {
+	p.watches.Go(func() { p.discovery.Watch(p.watching) })
+}
+
 // known starts the balancer with the list as this proxy last had it; it can serve from that at once.
 func (p *Proxy) known(text json.RawMessage) error {
-	c := &catalog{Seq: -1}
+	c := &discovery.Catalog{Seq: -1}
 	if len(text) > 0 && string(text) != "null" {
 		var err error
-		if c, err = readCatalog(text); err != nil {
+		if c, err = discovery.ReadCatalog(text); err != nil {
 			return fmt.Errorf("known: %w", err)
 		}
 	}
-	if err := p.discovery.take(c, balance.Cached); err != nil {
+	if err := p.discovery.Take(c, balance.Cached); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
 	return nil
 }
 
 // MoveDiscovery goes over to discovery at another address, while serving with the list that is held.
-func (p *Proxy) MoveDiscovery(address string) { p.discovery.move(p.watching, address) }
+func (p *Proxy) MoveDiscovery(address string) {
+	p.discovery.Move(address)
+	p.watch() // the balancer may be waiting for its time to ask again
+}
+
+// SetOptions changes the options that can change while serving.
+func (p *Proxy) SetOptions(o Options) {
+	p.front.SetOptions(o.Callers)
+	p.backends.SetOptions(o.Backends)
+	p.discovery.SetOptions(o.Discovery)
+}
 
 // Addr is where the proxy listens.
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
-const (
-	// acceptQuiet without a new connection shows that no more are coming, on a machine that runs late too.
-	acceptQuiet = 50 * time.Millisecond
-	// lastWords is how long the last answers of a planned restart may take to be written.
-	lastWords = 200 * time.Millisecond
-	leaveStep = 5 * time.Millisecond
-)
+// acceptQuiet without a new connection shows that no more are coming, on a machine that runs late too.
+const acceptQuiet = 50 * time.Millisecond
 
 // Serve answers callers until ctx is done, and then ends like a planned restart does: it returns once
-// everything taken is answered.
+// everything taken is answered, and leaves nothing running.
 func (p *Proxy) Serve(ctx context.Context) error {
-	defer p.stop()
+	defer p.Close()
 	served := make(chan error, 1)
 	go func() { served <- p.http.Serve(p.listener) }()
 	select {
@@ -165,7 +192,9 @@
 		return err
 	case <-ctx.Done():
 	}
-	p.leave()
+	if !p.restart.Run(p.left) {
+		p.log.Warn("leaving with callers' connections still open")
+	}
 	if err := p.http.Close(); err != nil {
 		return err
 	}
@@ -175,30 +204,19 @@
 	return nil
 }
 
-// leave is a planned restart. http.Server.Shutdown would close the listener at once, and with it the
-// connections that are still coming and those in the accept queue, whose requests count as taken.
-func (p *Proxy) leave() {
-	l := p.server.leaving
-	start := time.Now()
-	l.begin()
-	time.Sleep(l.serveOn())
-	for time.Since(start) < l.end() {
-		if p.left() {
-			return
-		}
-		time.Sleep(leaveStep)
-	}
-	close(l.over)
-	for end := time.Now().Add(lastWords); time.Now().Before(end); time.Sleep(leaveStep) {
-		if p.left() {
-			return
-		}
-	}
-	p.log.Warn("leaving with callers' connections still open")
+// Close ends all at once, answered or not. After Serve has returned it does nothing.
+func (p *Proxy) Close() {
+	p.stop()
+	p.http.Close()
+	p.listener.Close()
+	p.host.Close()
+	p.backends.Close()
+	p.watches.Wait()
+	p.discovery.CloseIdle()
 }
 
 // left closes the connections on which nothing is open and says whether no other is there or coming.
 func (p *Proxy) left() bool {
-	busy := p.server.callers.closeQuiet(acceptQuiet)
-	return busy == 0 && time.Since(time.Unix(0, p.listener.accepted.Load())) >= acceptQuiet
+	busy := p.callers.CloseQuiet(acceptQuiet)
+	return busy == 0 && p.listener.Quiet() >= acceptQuiet
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,13 +16,16 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"brasswell/balance"
+	"brasswell/internal/front"
 	"brasswell/internal/settings"
 )
 
 func TestMain(m *testing.M) {
 	log.SetOutput(io.Discard) // net/http tells of each stray byte, of which there are many here
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // patient is how long a test waits for an event that must come.
@@ -92,7 +94,7 @@
 			return
 		}
 		io.Copy(io.Discard, req.Body)
-		id := req.Header.Get(idField)
+		id := req.Header.Get(front.IDField)
 		b.requests <- id
 		io.WriteString(c, reply(id))
 	}
@@ -131,7 +133,7 @@
 	return g
 }
 
-func host(id, address, health string) string {
+func entry(id, address, health string) string {
 	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"kita","block":1,"health":%q}`, id, address, health)
 }
 
@@ -153,7 +155,7 @@
 	g := newRegistry(t)
 	c := Config{
 		Listen: "127.0.0.1:0", Discovery: g.address, Seed: 1, Memory: 64 << 20, Sockets: 256,
-		Known: json.RawMessage(list(1, true, hosts...)), Log: slog.New(slog.DiscardHandler),
+		Known: json.RawMessage(list(1, true, hosts...)), Log: slog.New(slog.DiscardHandler), Options: DefaultOptions(),
 		Settings: &settings.Settings{
 			Balancer: balance.Settings{
 				Instances: 1, MaxAttempts: 3, CanCancel: true,
@@ -180,8 +182,7 @@
 	done := make(chan error, 1)
 	go func() { done <- p.http.Serve(p.listener) }()
 	t.Cleanup(func() {
-		p.stop()
-		p.http.Close()
+		p.Close()
 		<-done
 	})
 	return &rig{t, p, g, p.Addr().String()}
@@ -241,7 +242,7 @@
 
 func TestServesARequest(t *testing.T) {
 	b := newBackend(t, "127.0.0.1:0", whole)
-	c := newRig(t, nil, host("s1", b.address, "up")).dial()
+	c := newRig(t, nil, entry("s1", b.address, "up")).dial()
 	for _, id := range []string{"a", "b"} {
 		if status, body := c.send(head(id)).answer(); status != 200 || body != id {
 			t.Fatalf("%d %q", status, body)
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -25,7 +25,7 @@
 		"two lengths":         "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nabcd",
 		"body over 64 KiB":    "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nContent-Length: 65537\r\n\r\n",
 		"bad chunks":          "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\nzz\r\n",
-		"head without end":    "GET / HTTP/1.1\r\nHost: x\r\nX-Pad: " + strings.Repeat("p", 2*maxHead) + "\r\n",
+		"head without end":    "GET / HTTP/1.1\r\nHost: x\r\nX-Pad: " + strings.Repeat("p", 2*16<<10) + "\r\n",
 		"half a body":         "POST / HTTP/1.1\r\nHost: x\r\n" + hold + "Idempotency-Key: k\r\nContent-Length: 9\r\n\r\nabcd",
 		"half a head":         "GET / HTTP/1.1\r\nHost: x\r\nX-Tx",
 		"silence":             "",
@@ -33,7 +33,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			b := newBackend(t, "127.0.0.1:0", whole)
-			c := newRig(t, nil, host("s1", b.address, "up")).dial()
+			c := newRig(t, nil, entry("s1", b.address, "up")).dial()
 			start := time.Now()
 			status, _ := c.send(request).answer()
 			if status != 0 && (status < 400 || status == 503) {
@@ -55,7 +55,7 @@
 // TestRequestInsideABodyIsNotPassedOn sends a request whose body, for whoever goes by the length, is another.
 func TestRequestInsideABodyIsNotPassedOn(t *testing.T) {
 	b := newBackend(t, "127.0.0.1:0", whole)
-	g := newRig(t, nil, host("s1", b.address, "up"))
+	g := newRig(t, nil, entry("s1", b.address, "up"))
 	inner := "0\r\n\r\n" + head("hidden")
 	for name, lead := range map[string]string{"first": "", "behind another": head("sound")} {
 		t.Run(name, func(t *testing.T) {
@@ -81,7 +81,7 @@
 
 func TestChunkedRequestIsServed(t *testing.T) {
 	b := newBackend(t, "127.0.0.1:0", whole)
-	c := newRig(t, nil, host("s1", b.address, "up")).dial()
+	c := newRig(t, nil, entry("s1", b.address, "up")).dial()
 	c.send("POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Lane: hold\r\nX-Remaining-Ms: 9000\r\nIdempotency-Key: k\r\n" +
 		"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
 	if status, body := c.answer(); status != 200 || body != "a" {
@@ -92,7 +92,7 @@
 func TestIDOfAnOpenRequestIsTurnedAway(t *testing.T) {
 	release := make(chan struct{})
 	b := newBackend(t, "127.0.0.1:0", func(id string) string { <-release; return whole(id) })
-	g := newRig(t, nil, host("s1", b.address, "up"))
+	g := newRig(t, nil, entry("s1", b.address, "up"))
 	first := g.dial().send(head("a"))
 	await(t, "the first request", b.requests)
 	if status, _ := g.dial().send(head("a")).answer(); status != 409 {
@@ -113,7 +113,7 @@
 	b := newBackend(t, "127.0.0.1:0", whole)
 	for name, first := range map[string]string{"silent": "", "asked once": "yes"} {
 		t.Run(name, func(t *testing.T) {
-			g := newRig(t, func(c *Config) { c.Sockets = 64 }, host("s1", b.address, "up"))
+			g := newRig(t, func(c *Config) { c.Sockets = 64 }, entry("s1", b.address, "up"))
 			for i := range 40 {
 				c := g.dial()
 				if first != "" {
@@ -138,7 +138,7 @@
 // TestCallersThatAskAgainKeepTheirConnection fills the places with callers that ask once.
 func TestCallersThatAskAgainKeepTheirConnection(t *testing.T) {
 	b := newBackend(t, "127.0.0.1:0", whole)
-	g := newRig(t, func(c *Config) { c.Sockets = 64 }, host("s1", b.address, "up"))
+	g := newRig(t, func(c *Config) { c.Sockets = 64 }, entry("s1", b.address, "up"))
 	steady := g.dial()
 	for _, id := range []string{"s1", "s2"} {
 		steady.send(head(id)).answer()
@@ -156,7 +156,7 @@
 // TestCallerThatLeavesEndsItsAttempt waits for the backend to see its connection close.
 func TestCallerThatLeavesEndsItsAttempt(t *testing.T) {
 	b := newBackend(t, "127.0.0.1:0", func(string) string { return "" })
-	g := newRig(t, nil, host("s1", b.address, "up"))
+	g := newRig(t, nil, entry("s1", b.address, "up"))
 	for name, leave := range map[string]func(net.Conn){
 		"close":      func(c net.Conn) { c.Close() },
 		"half close": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
@@ -183,14 +183,14 @@
 		}
 		return whole(id)
 	})
-	g := newRig(t, nil, host("s1", b.address, "up"))
+	g := newRig(t, nil, entry("s1", b.address, "up"))
 	asks, waits := g.dial(), g.dial()
 	asks.send(head("before")).answer()
 	waits.send(head("never"))
 	await(t, "the request before", b.requests)
 	await(t, "the request that is never answered", b.requests)
 
-	g.server.leaving.begin()
+	g.restart.Begin()
 	if status, _ := g.dial().send("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").answer(); status != 503 {
 		t.Errorf("health while leaving: %d", status)
 	}
@@ -199,7 +199,7 @@
 	}
 	left := make(chan struct{})
 	go func() {
-		g.leave()
+		g.restart.Run(g.left)
 		close(left)
 	}()
 	if status, _ := waits.answer(); status != 502 {
@@ -209,32 +209,3 @@
 	waits.closed()
 	await(t, "the end", left)
 }
-
-func TestFramingFollowsMessages(t *testing.T) {
-	const te = "Transfer-Encoding: chunked\r\n"
-	for name, c := range map[string]struct {
-		text    string
-		chunked bool
-	}{
-		"chunks":               {"POST / HTTP/1.1\r\n" + te + "\r\n", true},
-		"both":                 {"POST / HTTP/1.1\r\nContent-Length: 4\r\n" + te + "\r\n", false},
-		"both, other order":    {"POST / HTTP/1.1\r\n" + te + "CONTENT-LENGTH : 4\n\n", false},
-		"behind a body":        {"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\na\n\nPOST / HTTP/1.1\r\n" + te + "\r\n", true},
-		"fields within a body": {"POST / HTTP/1.1\r\nContent-Length: 28\r\n\r\n" + te + "POST / HTTP/1.1\r\nContent-Length: 1\r\n" + te + "\r\n", false},
-		"behind 1xx":           {"HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\n" + te + "\r\n", true},
-		"no number":            {"POST / HTTP/1.1\r\nContent-Length: ten\r\n" + te + "\r\n", false},
-		"none":                 {"GET / HTTP/1.1\r\n\r\n", false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			for step := 1; step <= len(c.text); step++ {
-				var f framing
-				for b := []byte(c.text); len(b) > 0; b = b[min(step, len(b)):] {
-					f.feed(b[:min(step, len(b))])
-				}
-				if f.chunked != c.chunked {
-					t.Fatalf("in pieces of %d: chunked %t", step, f.chunked)
-				}
-			}
-		})
-	}
-}
