Add the command line and the strict operator file

Need: the program could only run as the platform starts it, its limits were constants, and a mistake in a configuration showed only under load.

No arguments still run as the platform has it. The operator file is TOML, read strictly: each subsystem describes its section once, and parser, checker, JSON Schema, reference page and example come from that. All findings come in one run with file, line, column, what is allowed and the nearest known key. SIGHUP takes it whole or not at all and names what needs a restart. [[listener]] runs further proxies in the process.

--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,228 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"brasswell/internal/config"
+	"brasswell/internal/logging"
+	"brasswell/internal/operator"
+	"brasswell/internal/proxy"
+	"brasswell/internal/settings"
+)
+
+// heapShare of the memory limit is where the collector stops saving work: what sockets hold in the kernel,
+// thread stacks and the program itself need the rest.
+const heapShare = 0.75
+
+func (e *env) runVerb() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "run",
+		Short: "Run the proxy",
+		Long: "Runs the proxy that RELAY_CONFIG describes (RELAY_NAME, RELAY_LISTEN and RELAY_DISCOVERY override it at the\n" +
+			"start). SIGHUP reads that file and the operator file again, each whole or not at all. SIGTERM ends the proxy\n" +
+			"once what it has taken is answered.",
+		Example: "  RELAY_CONFIG=config.json brasswell run -c deploy/operator.toml",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return e.run(c.Context(), file) },
+	}
+	c.Flags().StringVarP(&file, "config", "c", "", "the operator file; without it all is at its defaults")
+	c.MarkFlagFilename("config", "toml")
+	return c
+}
+
+// running is the proxies of one process.
+type running struct {
+	platform *config.Platform
+	operator *config.Operator
+	file     string // the operator file's, or ""
+	getenv   func(string) string
+	log      *logging.Log
+	proxies  []*proxy.Proxy // the first is the one that the platform knows
+}
+
+func (e *env) run(ctx context.Context, file string) error {
+	// From here on, for a SIGHUP that nobody waits for ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+
+	r, err := e.start(file)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var background sync.WaitGroup
+	defer background.Wait()
+	reloading, endReloading := context.WithCancel(ctx)
+	defer endReloading()
+	background.Go(func() { r.reloads(reloading, hangups) })
+	if err := r.serve(ctx); err != nil {
+		return answerNo{err}
+	}
+	return nil
+}
+
+// start reads all configuration and opens every listener.
+func (e *env) start(file string) (*running, error) {
+	r := &running{file: file, getenv: e.getenv}
+	var err error
+	if r.operator, err = config.ReadOperator(file); err != nil {
+		return nil, fmt.Errorf("operator file:\n%w", readable(file, err))
+	}
+	if r.platform, err = config.ReadPlatform(e.getenv); err != nil {
+		return nil, err
+	}
+	c := r.platform
+	memory := int64(c.Limits.MemoryMB * (1 << 20))
+	debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	r.log = logging.New(e.errOut, r.operator.Log)
+	r.log.Logger = r.log.With("name", c.Name)
+	slog.SetDefault(r.log.Logger) // for what net/http has to say too
+
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	left := 1.0
+	for _, l := range r.operator.Listeners {
+		left -= l.Share
+	}
+	err = r.open(proxy.Config{
+		Listen: c.Listen, Discovery: c.Discovery, Settings: s, Known: c.Known, Log: r.log.Logger,
+	}, left)
+	for _, l := range r.operator.Listeners {
+		if err != nil {
+			break
+		}
+		own := s
+		if l.Settings != "" {
+			if own, err = readSettings(l.Settings); err != nil {
+				err = fmt.Errorf("listener %s: %w", l.Name, err)
+				break
+			}
+		}
+		if err = r.open(proxy.Config{
+			Listen: l.Listen, Discovery: l.Discovery, Settings: own, Log: r.log.With("listener", l.Name),
+		}, l.Share); err != nil {
+			err = fmt.Errorf("listener %s: %w", l.Name, err)
+		}
+	}
+	if err != nil {
+		for _, p := range r.proxies {
+			p.Close()
+		}
+		return nil, err
+	}
+	return r, nil
+}
+
+func readSettings(path string) (*settings.Settings, error) {
+	text, err := config.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := settings.Read(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// open adds one proxy with a share of the memory and the sockets.
+func (r *running) open(c proxy.Config, share float64) error {
+	c.Memory = int64(share * r.platform.Limits.MemoryMB * (1 << 20))
+	c.Sockets = int(share * float64(r.platform.Limits.Sockets))
+	c.Seed = r.platform.SeedNumber + uint64(len(r.proxies))
+	c.Options = r.operator.Proxy
+	p, err := proxy.New(c)
+	if err != nil {
+		return err
+	}
+	r.proxies = append(r.proxies, p)
+	return nil
+}
+
+// serve runs every proxy until ctx is done and all have ended. One that ends by itself ends the others.
+func (r *running) serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	errs := make([]error, len(r.proxies))
+	var all sync.WaitGroup
+	for i, p := range r.proxies {
+		all.Go(func() {
+			defer cancel()
+			errs[i] = p.Serve(ctx)
+		})
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// reloads answers each SIGHUP with a look at both files. One that cannot be read or makes no sense is logged, and
+// all that it sets stays as it is.
+func (r *running) reloads(ctx context.Context, hangups <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		r.reloadPlatform()
+		if r.file != "" {
+			r.reloadOperator()
+		}
+	}
+}
+
+func (r *running) reloadPlatform() {
+	switch discovery, err := r.platform.Reload(r.getenv); {
+	case err != nil:
+		r.log.Error("reload: the new configuration is ignored", "error", err)
+	case discovery == "":
+		r.log.Info("reload: discovery stays where it is")
+	default:
+		r.log.Info("reload: discovery moves", "address", discovery)
+		r.proxies[0].MoveDiscovery(discovery)
+	}
+}
+
+// reloadOperator takes the new operator file whole, or not at all.
+func (r *running) reloadOperator() {
+	next, err := config.ReadOperator(r.file)
+	var findings operator.Error
+	switch {
+	case errors.As(err, &findings):
+		for _, f := range findings {
+			r.log.Error("reload: operator file ignored, nothing has changed", "finding", f.String())
+		}
+		return
+	case err != nil:
+		r.log.Error("reload: operator file ignored, nothing has changed", "error", err)
+		return
+	}
+	if fixed := operator.Fixed(r.operator.Values, next.Values); len(fixed) > 0 {
+		r.log.Error("reload: operator file ignored, nothing has changed: these settings change only at a restart", "settings", fixed)
+		return
+	}
+	r.operator = next
+	r.log.SetOptions(next.Log)
+	for _, p := range r.proxies {
+		p.SetOptions(next.Proxy)
+	}
+	r.log.Info("reload: operator file taken", "settings", len(next.Values))
+}
--- a/cmd/brasswell/config.go
+++ b/internal/config/platform.go
@@ -1,4 +1,6 @@
-package main
+// Package config reads what a proxy is told: the platform's JSON with its environment variables, and the operator
+// file.
+package config
 
 import (
 	"encoding/json"
@@ -7,10 +9,12 @@
 	"net"
 	"os"
 	"strconv"
+
+	"brasswell/internal/settings"
 )
 
-// config is what a proxy is told: the file that RELAY_CONFIG names, with the other variables over it.
-type config struct {
+// Platform is what a proxy is told: the file that RELAY_CONFIG names, with the other variables over it.
+type Platform struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
@@ -23,14 +27,14 @@
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
-	seed          uint64
+	SeedNumber    uint64 `json:"-"` // Seed, read
 	fileDiscovery string // discovery as the file names it
 }
 
-// reload reads the file again and returns where discovery is now, or "" if the file names no other place than it
+// Reload reads the file again and returns where discovery is now, or "" if the file names no other place than it
 // did. The variables no longer count: they are from before the file was replaced. All else in the file holds
 // from the next start on.
-func (c *config) reload(getenv func(string) string) (string, error) {
+func (c *Platform) Reload(getenv func(string) string) (string, error) {
 	next, err := readFile(getenv)
 	if err != nil {
 		return "", err
@@ -53,7 +57,7 @@
 )
 
 // readFile reads the file that RELAY_CONFIG names.
-func readFile(getenv func(string) string) (*config, error) {
+func readFile(getenv func(string) string) (*Platform, error) {
 	path := getenv("RELAY_CONFIG")
 	if path == "" {
 		return nil, errors.New("RELAY_CONFIG: not set")
@@ -62,7 +66,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
-	c := &config{}
+	return parsePlatform(text)
+}
+
+// parsePlatform takes the JSON text apart.
+func parsePlatform(text []byte) (*Platform, error) {
+	c := &Platform{}
 	c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets = defaultCores, defaultMemoryMB, defaultSockets
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
@@ -70,8 +79,9 @@
 	return c, nil
 }
 
-// readConfig names the variable or field of whatever it cannot take.
-func readConfig(getenv func(string) string) (*config, error) {
+// ReadPlatform reads the file and the variables, and names the variable or field of whatever it cannot
+// take.
+func ReadPlatform(getenv func(string) string) (*Platform, error) {
 	c, err := readFile(getenv)
 	if err != nil {
 		return nil, err
@@ -84,30 +94,58 @@
 			*field = v
 		}
 	}
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// CheckPlatform reads a file's text as a proxy would at its start, with no variables over it, and returns the first
+// thing that is wrong with it.
+func CheckPlatform(text []byte) error {
+	c, err := parsePlatform(text)
+	if err != nil {
+		return err
+	}
+	if err := c.validate(); err != nil {
+		return err
+	}
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return s.Balancer.Validate()
+}
+
+func (c *Platform) validate() (err error) {
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-		return nil, fmt.Errorf("RELAY_LISTEN: %q: %w", c.Listen, err)
+		return fmt.Errorf("RELAY_LISTEN: %q: %w", c.Listen, err)
 	}
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
-		return nil, fmt.Errorf("RELAY_DISCOVERY: %q: %w", c.Discovery, err)
+		return fmt.Errorf("RELAY_DISCOVERY: %q: %w", c.Discovery, err)
 	}
-	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("seed: %w", err)
+	if c.SeedNumber, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return fmt.Errorf("seed: %w", err)
 	}
 	switch {
 	case len(c.Settings) == 0:
-		return nil, errors.New("settings: missing")
+		return errors.New("settings: missing")
 	case c.Limits.Cores <= 0:
-		return nil, fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
+		return fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
 	case c.Limits.MemoryMB < minMemoryMB:
-		return nil, fmt.Errorf("limits.memory_mb: %v is below %d", c.Limits.MemoryMB, minMemoryMB)
+		return fmt.Errorf("limits.memory_mb: %v is below %d", c.Limits.MemoryMB, minMemoryMB)
+	case c.Limits.MemoryMB > mostMemoryMB:
+		return fmt.Errorf("limits.memory_mb: %v is over %d", c.Limits.MemoryMB, mostMemoryMB)
 	case c.Limits.Sockets < minSockets:
-		return nil, fmt.Errorf("limits.sockets: %d is below %d", c.Limits.Sockets, minSockets)
+		return fmt.Errorf("limits.sockets: %d is below %d", c.Limits.Sockets, minSockets)
 	}
-	return c, nil
+	return nil
 }
 
 // Below these no useful proxy fits.
 const (
 	minMemoryMB = 32
 	minSockets  = 64
+	// mostMemoryMB keeps the figure in bytes within 63 bits.
+	mostMemoryMB = 1 << 30
 )
--- /dev/null
+++ b/internal/framing/fuzz_test.go
@@ -0,0 +1,21 @@
+package framing
+
+import "testing"
+
+// FuzzFollower: what it makes of a stream does not depend on how the stream is cut.
+func FuzzFollower(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"), uint8(3))
+	f.Add([]byte("HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"), uint8(1))
+	f.Add([]byte("GET / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n"), uint8(7))
+	f.Fuzz(func(t *testing.T, text []byte, step uint8) {
+		var whole, parts Follower
+		whole.Feed(text)
+		n := int(step)%7 + 1
+		for b := text; len(b) > 0; b = b[min(n, len(b)):] {
+			parts.Feed(b[:min(n, len(b))])
+		}
+		if whole.Chunked() != parts.Chunked() {
+			t.Fatalf("whole: chunked %t, in pieces of %d: %t", whole.Chunked(), n, parts.Chunked())
+		}
+	})
+}
--- a/internal/operator/parse.go
+++ b/internal/operator/parse.go
@@ -150,7 +150,7 @@
 	}
 	line := bytes.LastIndexByte(p.text[:min(at, len(p.text))], '\n') + 1
 	p.unsound = true
-	p.find(at, "", "not TOML: %s", syntaxMend(err.Error(), p.text[line:]))
+	p.find(at, "", "not TOML: %s", syntaxMend(err.Error(), p.text[line:], p.text[at:]))
 	if bytes.HasPrefix(bytes.TrimLeft(p.text[line:], " \t"), []byte("[")) {
 		p.endTable()
 		p.section, p.lost = nil, true
@@ -162,22 +162,36 @@
 	return at + next + 1
 }
 
-// syntaxMend adds the mend to the faults that people make most.
-func syntaxMend(problem string, rest []byte) string {
+// syntaxMend adds the mend to the faults that people make most. rest begins with the faulty line, and at is the
+// text from the fault on.
+func syntaxMend(problem string, rest, at []byte) string {
+	if r, n := utf8.DecodeRune(at); n > 1 {
+		// The TOML parser names the first byte of a letter that has several.
+		problem = strings.Replace(problem, fmt.Sprintf("%#U", at[0]), fmt.Sprintf("%#U", r), 1)
+	}
 	line, _, _ := strings.Cut(string(rest), "\n")
 	_, value, _ := strings.Cut(line, "=")
 	value = strings.TrimSpace(value)
+	begins := func(set string) bool { return value != "" && strings.ContainsRune(set, rune(value[0])) }
+	newline := strings.HasPrefix(problem, "expected newline")
 	switch {
-	case strings.Contains(line, "“") || strings.Contains(line, "”"):
-		problem += `; write plain quotes (")`
-	case strings.HasPrefix(problem, "expected newline but got") && value != "" && value[0] >= '0' && value[0] <= '9':
-		problem += `; put a value with a unit in quotes, such as "750ms"`
-	case strings.HasPrefix(problem, "unexpected character") && value != "" && !strings.ContainsAny(value[:1], `"'[{`):
-		problem += "; put words in quotes"
-	case strings.Contains(problem, "'=' after key") && strings.Contains(line, ":"):
-		problem += "; write key = value"
-	case strings.HasPrefix(problem, "expected key") || strings.HasPrefix(problem, "expected value"):
-		problem += "; write key = value"
+	case strings.ContainsAny(line, "“”"):
+		return problem + `; write plain quotes (")`
+	case strings.Contains(problem, "must be quoted"), newline && begins("0123456789"):
+		return problem + `; put a value with a unit in quotes, such as "750ms"`
+	case strings.HasPrefix(problem, "unexpected character") && value == "":
+		return problem + "; write key = value"
+	case strings.HasPrefix(problem, "unexpected character"), newline && !begins("\"'[{"):
+		return problem + "; put words in quotes"
+	case newline:
+		return problem + "; write one setting on a line"
+	case strings.HasPrefix(problem, "expected '='"), strings.HasPrefix(problem, "expected key"),
+		strings.HasPrefix(problem, "invalid character at start of key"), strings.HasPrefix(problem, "expected value"):
+		return problem + "; write key = value"
+	case strings.Contains(problem, "strings cannot have new lines"):
+		return problem + "; close the quotes on the line where they open"
+	case strings.Contains(problem, "array is incomplete"):
+		return problem + "; close it with ]"
 	}
 	return problem
 }
@@ -335,6 +349,9 @@
 func nearest(got string, known []string) string {
 	best, bestDistance := "", math.MaxInt
 	for _, word := range known {
+		if len(word) > 2 && strings.HasPrefix(strings.ToLower(got), word) {
+			return word
+		}
 		d := levenshtein.Distance(strings.ToLower(got), word, nil)
 		if d < bestDistance {
 			best, bestDistance = word, d
--- a/internal/operator/value.go
+++ b/internal/operator/value.go
@@ -116,7 +116,9 @@
 	least, most int64
 }
 
-func inUnits(n int64) string { return strings.ReplaceAll(humanize.IBytes(uint64(n)), " ", "") }
+func inUnits(n int64) string {
+	return strings.NewReplacer(" ", "", ".0 ", "").Replace(humanize.IBytes(uint64(n)))
+}
 
 func (s *size) example() string { return strconv.Quote(inUnits(*s.v)) }
 
@@ -375,3 +377,30 @@
 func (l *list) schema() map[string]any {
 	return map[string]any{"type": "array", "maxItems": maxItems, "items": map[string]any{"type": "string"}}
 }
+
+// Path is a file's name, or empty.
+func Path(name string, v *string, doc string) Key {
+	return Key{Name: name, Doc: doc, value: (*path)(v)}
+}
+
+type path string
+
+const maxPath = 4096
+
+func (p *path) set(t token) string {
+	switch {
+	case t.kind != aString:
+		return wrongType(t, "a file's name", `"/etc/brasswell/settings.json"`)
+	case len(t.text) > maxPath || strings.ContainsRune(t.text, 0):
+		return fmt.Sprintf("no file has such a name; allowed are %d bytes, none of them 0", maxPath)
+	}
+	*p = path(t.text)
+	return ""
+}
+
+func (p *path) typeName() string { return "file" }
+func (p *path) allowed() string  { return "a file's name, or empty" }
+func (p *path) text() string     { return strconv.Quote(string(*p)) }
+func (p *path) schema() map[string]any {
+	return map[string]any{"type": "string", "maxLength": maxPath}
+}
