Take the avoidable work out of each request

Cause: a profile of the proxy beside ReverseProxy at 11,000 requests a second showed a runtime timer and a goroutine for each of the three times that the balancer sets for a request (66,000 pending), a copy and a walk of the idle connections at each request, two new timers for each answer, a stack grown anew for each attempt, and copies of the headers.

Change: one heap of timers with one runtime timer; idle connections in lists that run through them, with the settled ones known; timers that look again instead of being made anew; workers that wait for attempts; headers copied once.

--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -35,9 +35,14 @@
 	done     bool // the answer is read; to be parked once a Read waits
 	parked   bool
 	parkedAt time.Time
-	retire   *time.Timer
+	retire   *time.Timer // ends it when it has idled for too long
+	retiring bool        // retire runs
 	rest     *time.Timer // ends an answer that has begun and does not go on
+	resting  bool        // rest runs
+	restEnd  time.Time   // by when the answer must have ended; zero while none has begun
 	closed   bool
+
+	older, newer *conn // in its idleList
 }
 
 func (c *conn) roundTrip(ctx context.Context, m *Message, left time.Duration) (*http.Response, error) {
@@ -114,21 +119,43 @@
 	return n, err
 }
 
-// watchRest gives an answer that has begun restWait to come to its end.
+// watchRest gives an answer that has begun Options.AnswerTimeout to come to its end.
 func (c *conn) watchRest() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if c.rest == nil && !c.closed {
-		c.rest = time.AfterFunc(c.pool.options.AnswerTimeout, c.discard)
+	if !c.restEnd.IsZero() || c.closed {
+		return
+	}
+	c.restEnd = time.Now().Add(c.pool.options.AnswerTimeout)
+	if !c.resting {
+		c.resting = true
+		c.rest.Reset(c.pool.options.AnswerTimeout)
 	}
 }
 
 func (c *conn) unwatchRest() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if c.rest != nil {
-		c.rest.Stop()
-		c.rest = nil
+	c.restEnd = time.Time{}
+}
+
+// restOver ends the answer whose time is over. Like retire, its timer is not stopped when an answer ends: it looks
+// whether another has begun.
+func (c *conn) restOver() {
+	c.pool.mu.Lock()
+	c.resting = false
+	over := false
+	if !c.restEnd.IsZero() && !c.closed {
+		if left := time.Until(c.restEnd); left > 0 {
+			c.resting = true
+			c.rest.Reset(left)
+		} else {
+			over = true
+		}
+	}
+	c.pool.mu.Unlock()
+	if over {
+		c.discard()
 	}
 }
 
@@ -138,9 +165,8 @@
 	if !c.closed {
 		c.closed = true
 		c.pool.open--
-		if c.rest != nil {
-			c.rest.Stop()
-		}
+		c.rest.Stop()
+		c.retire.Stop()
 		if c.parked {
 			c.pool.unpark(c)
 		}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,9 +27,9 @@
 	mu      sync.Mutex
 	options Options
 	closed  bool
-	open    int                  // connections open or being opened
-	idle    map[Endpoint][]*conn // the longest idle first
-	wanted  map[Endpoint]bool    // whose connections are kept
+	open    int                    // connections open or being opened
+	idle    map[Endpoint]*idleList // none is empty
+	wanted  map[Endpoint]bool      // whose connections are kept
 }
 
 // Limits is what a pool is told. All of it must be above 0, but Control may be nil.
@@ -52,7 +51,7 @@
 		// The fifth left is for answers that took their time to be read.
 		idleFor: l.ConnIdle * 4 / 5,
 		limit:   l.Conns, options: l.Options,
-		idle: map[Endpoint][]*conn{},
+		idle: map[Endpoint]*idleList{},
 	}
 	p.transport = &http.Transport{
 		DisableCompression:     true,
@@ -64,6 +63,13 @@
 	return p
 }
 
+// stoppedTimer is a timer that calls f once it has been reset.
+func stoppedTimer(f func()) *time.Timer {
+	t := time.AfterFunc(time.Hour, f)
+	t.Stop()
+	return t
+}
+
 // dialed is the context key under which a connection is handed to the transport.
 type dialed struct{}
 
@@ -71,24 +77,22 @@
 func (p *Pool) get(ctx context.Context, to Endpoint) (c *conn, reused bool, err error) {
 	var dead []*conn
 	p.mu.Lock()
-	idle := slices.Clone(p.idle[to])
-	for _, k := range slices.Backward(idle) {
-		rested := time.Since(k.parkedAt)
-		switch {
-		case k.cc.Err() != nil || rested >= p.idleFor:
-			p.unpark(k)
+	now := time.Now()
+	for c == nil && p.idle[to] != nil {
+		k := p.idle[to].lastSettled(now, p.options.Settle)
+		if k == nil {
+			break
+		}
+		p.unpark(k)
+		if k.cc.Err() != nil || now.Sub(k.parkedAt) >= p.idleFor {
 			dead = append(dead, k)
 			continue
-		case rested < p.options.Settle:
-			continue
 		}
-		p.unpark(k)
 		k.framing = framing.Follower{}
-		for _, flag := range []*atomic.Bool{&k.wrote, &k.last, &k.began} {
-			flag.Store(false)
-		}
+		k.wrote.Store(false)
+		k.last.Store(false)
+		k.began.Store(false)
 		c = k
-		break
 	}
 	if c == nil && p.open-len(dead) >= p.limit {
 		if oldest := p.oldestIdle(); oldest != nil {
@@ -123,6 +127,8 @@
 		return nil, fmt.Errorf("connect to %s: %w", to.Address, err)
 	}
 	c := &conn{Conn: nc, pool: p, endpoint: to}
+	c.retire = stoppedTimer(func() { p.retire(c) })
+	c.rest = stoppedTimer(c.restOver)
 	if c.cc, err = p.transport.NewClientConn(context.WithValue(ctx, dialed{}, c), "http", to.Address); err != nil {
 		c.Close()
 		return nil, fmt.Errorf("connect to %s: %w", to.Address, err)
@@ -157,7 +163,7 @@
 	var drop []*conn
 	for to, idle := range p.idle {
 		if !wanted[to] {
-			drop = append(drop, idle...)
+			drop = slices.AppendSeq(drop, idle.all())
 		}
 	}
 	p.drop(drop)
@@ -166,7 +172,11 @@
 // distrust closes the idle connections to an endpoint that does not answer.
 func (p *Pool) distrust(to Endpoint) {
 	p.mu.Lock()
-	p.drop(slices.Clone(p.idle[to]))
+	var all []*conn
+	if idle := p.idle[to]; idle != nil {
+		all = slices.Collect(idle.all())
+	}
+	p.drop(all)
 }
 
 // drop unparks and ends connections. It is called with p.mu held and gives it back.
@@ -186,41 +196,51 @@
 		return
 	}
 	c.parked, c.parkedAt = true, time.Now()
-	p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
-	c.retire = time.AfterFunc(p.idleFor, func() {
-		p.mu.Lock()
-		still := c.parked && time.Since(c.parkedAt) >= p.idleFor
-		if still {
+	idle := p.idle[c.endpoint]
+	if idle == nil {
+		idle = &idleList{}
+		p.idle[c.endpoint] = idle
+	}
+	idle.push(c)
+	if !c.retiring {
+		c.retiring = true
+		c.retire.Reset(p.idleFor)
+	}
+}
+
+// retire ends a connection that has idled for too long. Its timer is not stopped when the connection is used: it
+// looks again when it fires, which costs a busy connection one look in each idleFor.
+func (p *Pool) retire(c *conn) {
+	p.mu.Lock()
+	c.retiring = false
+	over := false
+	if c.parked {
+		if left := p.idleFor - time.Since(c.parkedAt); left > 0 {
+			c.retiring = true
+			c.retire.Reset(left)
+		} else {
+			over = true
 			p.unpark(c)
 		}
-		p.mu.Unlock()
-		if still {
-			c.discard()
-		}
-	})
+	}
+	p.mu.Unlock()
+	if over {
+		c.discard()
+	}
 }
 
 func (p *Pool) unpark(c *conn) {
 	c.parked = false
-	c.retire.Stop()
 	idle := p.idle[c.endpoint]
-	for i, other := range idle {
-		if other == c {
-			idle = append(idle[:i], idle[i+1:]...)
-			break
-		}
-	}
-	if len(idle) == 0 {
+	if idle.remove(c); idle.front == nil {
 		delete(p.idle, c.endpoint)
-	} else {
-		p.idle[c.endpoint] = idle
 	}
 }
 
 func (p *Pool) oldestIdle() *conn {
 	var oldest *conn
 	for _, idle := range p.idle {
-		if c := idle[0]; oldest == nil || c.parkedAt.Before(oldest.parkedAt) {
+		if c := idle.front; oldest == nil || c.parkedAt.Before(oldest.parkedAt) {
 			oldest = c
 		}
 	}
@@ -240,7 +260,7 @@
 	p.closed = true
 	var idle []*conn
 	for _, conns := range p.idle {
-		idle = append(idle, conns...)
+		idle = slices.AppendSeq(idle, conns.all())
 	}
 	p.drop(idle)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -234,25 +235,35 @@
 }
 
 func newMessage(r *http.Request, kept *body.Body) *backends.Message {
-	header := endToEnd(r.Header)
+	header := make(http.Header, len(r.Header)+1)
+	copyEndToEnd(header, r.Header)
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = nil // keeps net/http from adding its own
 	}
 	return &backends.Message{Method: r.Method, URI: r.RequestURI, URL: r.URL, Host: r.Host, Header: header, Body: kept}
 }
 
-// endToEnd copies the headers that are not for one connection alone.
-func endToEnd(h http.Header) http.Header {
-	c := h.Clone()
-	for _, field := range h["Connection"] {
-		for name := range strings.SplitSeq(field, ",") {
-			c.Del(strings.TrimSpace(name))
+// copyEndToEnd adds to dst the headers of src that are not for one connection alone (RFC 9110, section 7.6.1). The
+// values are shared, so neither may be changed in place afterwards.
+func copyEndToEnd(dst, src http.Header) {
+	named := src["Connection"]
+	for name, values := range src {
+		if !slices.Contains(hopByHop, name) && !listed(named, name) {
+			dst[name] = values
 		}
 	}
-	for _, name := range hopByHop {
-		delete(c, name)
+}
+
+// listed says whether one of the fields, which are lists, has a name.
+func listed(fields []string, name string) bool {
+	for _, field := range fields {
+		for item := range strings.SplitSeq(field, ",") {
+			if strings.EqualFold(strings.TrimSpace(item), name) {
+				return true
+			}
+		}
 	}
-	return c
+	return false
 }
 
 // answer writes the one final answer.
@@ -273,9 +284,7 @@
 		http.Error(w, "failed", http.StatusBadGateway)
 		return
 	}
-	for name, values := range endToEnd(f.Reply.Header) {
-		header[name] = values
-	}
+	copyEndToEnd(header, f.Reply.Header)
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // keeps net/http from guessing
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"brasswell/balance"
@@ -68,15 +69,25 @@
 	address  map[string]backends.Endpoint // of each server that the list has in service
 	listed   bool                         // a list with servers is held
 	closed   bool
-	running  sync.WaitGroup // attempts that are out
+
+	timers  *timers
+	work    chan *attempt  // to workers that wait for some
+	idle    atomic.Int32   // workers that wait, or are about to
+	ending  chan struct{}  // closed when they are to end
+	running sync.WaitGroup // workers
 }
 
+// mostIdle workers are kept waiting for an attempt.
+const mostIdle = 64
+
 // New returns an instance that knows no servers yet. watch starts a watch on the server list; it must not block.
 func New(settings balance.Settings, seed uint64, pool *backends.Pool, watch func(), log *slog.Logger) (*Instance, error) {
 	i := &Instance{
 		started: time.Now(), backends: pool, watch: watch, log: log,
 		requests: map[string]*Request{}, address: map[string]backends.Endpoint{},
+		work: make(chan *attempt), ending: make(chan struct{}),
 	}
+	i.timers = newTimers(i.now, i.timer)
 	i.unix = time.Duration(i.started.UnixNano())
 	var err error
 	i.balancer, err = balance.New(settings, seed, i)
@@ -93,6 +104,10 @@
 	defer i.mu.Unlock()
 	i.lastID++
 	q := &Request{id: strconv.FormatUint(i.lastID, 36), message: m, final: make(chan Final, 1)}
+	if i.closed {
+		q.answer(Final{Verdict: Failed})
+		return q
+	}
 	i.requests[q.id] = q
 	i.balancer.Submit(i.now(), balance.Request{ID: q.id, Class: class, Tenant: tenant, Left: left})
 	i.tidy(q)
@@ -132,6 +147,10 @@
 
 // run carries an attempt out.
 func (i *Instance) run(a *attempt) {
+	if a.end <= a.sent || i.isClosed() {
+		i.end(a, balance.Ignored, nil) // its time has expired: never sent
+		return
+	}
 	outcome, r := i.backends.Exchange(a.ctx, a.to, a.request.message, func() (time.Duration, bool) {
 		i.mu.Lock()
 		defer i.mu.Unlock()
@@ -164,6 +183,10 @@
 // Update gives the balancer what discovery says. addresses holds where to dial the entries' servers.
 func (i *Instance) Update(kind balance.ListKind, entries []balance.Entry, addresses map[string]string) {
 	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.closed {
+		return
+	}
 	if kind == balance.Full || kind == balance.Cached {
 		clear(i.address)
 	}
@@ -184,7 +207,6 @@
 		i.backends.Keep(wanted)
 	}
 	i.balancer.Update(i.now(), kind, entries)
-	i.mu.Unlock()
 }
 
 // Ready says whether there is a server to send to.
@@ -203,13 +225,29 @@
 	a.timer = time.AfterFunc(timeout, func() { a.cancel(backends.ErrTimedOut) })
 	q.attempts = append(q.attempts, a)
 	q.out++
-	i.running.Go(func() {
-		if timeout <= 0 || i.isClosed() {
-			i.end(a, balance.Ignored, nil) // its time has expired: never sent
+	select {
+	case i.work <- a:
+	default:
+		i.running.Go(func() { i.worker(a) })
+	}
+}
+
+// worker carries an attempt out, and then others as they come. An attempt needs a stack that a new goroutine first
+// has to grow, so a few workers wait for the next one.
+func (i *Instance) worker(a *attempt) {
+	for {
+		i.run(a)
+		if i.idle.Add(1) > mostIdle {
+			i.idle.Add(-1)
 			return
 		}
-		i.run(a)
-	})
+		select {
+		case a = <-i.work:
+			i.idle.Add(-1)
+		case <-i.ending:
+			return
+		}
+	}
 }
 
 // Refuse answers a request so that trying again is harmless.
@@ -235,14 +273,15 @@
 
 // SetTimer asks for one Timer event. Timers are never withdrawn; none outlives the longest deadline by much.
 func (i *Instance) SetTimer(delay time.Duration, token uint64) {
-	time.AfterFunc(delay, func() {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		if i.closed {
-			return
-		}
-		i.balancer.Timer(i.now(), token)
-	})
+	i.timers.set(delay, token)
+}
+
+func (i *Instance) timer(now time.Duration, token uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.closed {
+		i.balancer.Timer(now, token)
+	}
 }
 
 // Watch subscribes to the server list.
@@ -264,6 +303,10 @@
 // for the end of a proxy, when nobody waits for an answer any more.
 func (i *Instance) Close() {
 	i.mu.Lock()
+	if i.closed {
+		i.mu.Unlock()
+		return
+	}
 	i.closed = true
 	for _, q := range i.requests {
 		q.answer(Final{Verdict: Failed})
@@ -272,5 +315,7 @@
 		}
 	}
 	i.mu.Unlock()
+	i.timers.end()
+	close(i.ending)
 	i.running.Wait()
 }
--- /dev/null
+++ b/internal/host/timers.go
@@ -0,0 +1,114 @@
+package host
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// timers calls back at given times. One runtime timer serves them all, and those that are due together are called
+// together: a timer of the runtime's for each would cost an allocation, and a goroutine when it fires, several
+// times for each request, and nearly all of them fire long after their request is over.
+//
+// A call comes up to timerStep late. Nothing that the balancer times is finer than that.
+type timers struct {
+	now  func() time.Duration
+	fire func(now time.Duration, token uint64) // called without mu
+
+	mu    sync.Mutex
+	queue timerQueue
+	timer *time.Timer
+	armed time.Duration // when the runtime timer fires; 0 while it does not run
+	ended bool
+}
+
+// timerStep is the least time between two rounds of calls.
+const timerStep = time.Millisecond
+
+type dueTimer struct {
+	at    time.Duration
+	token uint64
+}
+
+func newTimers(now func() time.Duration, fire func(time.Duration, uint64)) *timers {
+	return &timers{now: now, fire: fire}
+}
+
+// set asks for one call, after a delay.
+func (t *timers) set(delay time.Duration, token uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended {
+		return
+	}
+	heap.Push(&t.queue, dueTimer{t.now() + delay, token})
+	t.arm()
+}
+
+// arm sets the runtime timer for the earliest call; t.mu must be held.
+func (t *timers) arm() {
+	if len(t.queue) == 0 {
+		return
+	}
+	at := t.queue[0].at
+	if t.armed != 0 && t.armed <= at+timerStep {
+		return // it fires soon enough
+	}
+	now := t.now()
+	wait := max(at-now, timerStep)
+	t.armed = now + wait
+	if t.timer == nil {
+		t.timer = time.AfterFunc(wait, t.round)
+	} else {
+		t.timer.Reset(wait)
+	}
+}
+
+// round makes the calls that are due.
+func (t *timers) round() {
+	t.mu.Lock()
+	var due []uint64
+	now := t.now()
+	for len(t.queue) > 0 && t.queue[0].at <= now && !t.ended {
+		due = append(due, heap.Pop(&t.queue).(dueTimer).token)
+	}
+	t.armed = 0
+	t.mu.Unlock()
+	for _, token := range due {
+		t.fire(t.now(), token)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.ended {
+		t.arm()
+	}
+}
+
+// end drops all calls that are still to come.
+func (t *timers) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended, t.queue = true, nil
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
+// timerQueue is a heap by time, and by age among equals.
+type timerQueue []dueTimer
+
+func (q timerQueue) Len() int { return len(q) }
+func (q timerQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].token < q[j].token
+}
+func (q timerQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timerQueue) Push(x any)   { *q = append(*q, x.(dueTimer)) }
+func (q *timerQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
