--- a/balance/balance.go
+++ b/balance/balance.go
@@ -116,6 +116,8 @@
 	started  bool // its answer streams: it belongs to the client
 	held     bool
 	worth    float64
+	timers   []uint64  // set for it alone
+	few      [4]uint64 // room for most requests' timers
 }
 
 // Balancer makes the decisions of one instance. It is not safe for concurrent use.
@@ -186,11 +188,11 @@
 	}
 	q.worth = c.Worth * b.tenantWorth(now, r.Tenant)
 	b.retries = min(b.retries+retryRatio, retryBurst)
-	b.after(q.end-now, func(now time.Duration) { b.giveUp(now, q) })
+	b.afterFor(q, q.end-now, func(now time.Duration) { b.giveUp(now, q) })
 	b.hold(q)
 	b.retryHeld(now)
 	if q.held {
-		b.after(min(time.Duration(holdShare*float64(c.Aim)), r.Left/2), func(now time.Duration) {
+		b.afterFor(q, min(time.Duration(holdShare*float64(c.Aim)), r.Left/2), func(now time.Duration) {
 			if q.held && !q.answered {
 				b.answer(now, q)
 			}
@@ -318,7 +320,7 @@
 	if t := b.tail[q.Class]; t.known() {
 		index := len(q.attempts) - 1
 		wait := time.Duration(float64(t.quantile) * float64(time.Second))
-		b.after(wait, func(now time.Duration) { b.stalled(now, q, index) })
+		b.afterFor(q, wait, func(now time.Duration) { b.stalled(now, q, index) })
 	}
 }
 
@@ -494,7 +496,7 @@
 		b.answer(now, q)
 		return
 	}
-	b.after(holdStep, func(now time.Duration) {
+	b.afterFor(q, holdStep, func(now time.Duration) {
 		if !q.answered {
 			b.hold(q)
 			b.retryHeld(now)
@@ -531,6 +533,9 @@
 func (b *Balancer) forget(q *request) {
 	if q.answered && q.out == 0 {
 		delete(b.requests, q.ID)
+		for _, token := range q.timers {
+			delete(b.timers, token) // which would hold its record until then
+		}
 	}
 }
 
@@ -938,6 +943,15 @@
 	b.host.SetTimer(max(delay, 0), b.lastTimer)
 }
 
+// afterFor is after for what concerns one request alone: nothing is called once its record is forgotten.
+func (b *Balancer) afterFor(q *request, delay time.Duration, f func(now time.Duration)) {
+	b.after(delay, f)
+	if q.timers == nil {
+		q.timers = q.few[:0]
+	}
+	q.timers = append(q.timers, b.lastTimer)
+}
+
 // Timer takes in that a timer has come due.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
 	if f := b.timers[token]; f != nil {
--- /dev/null
+++ b/bench/start_test.go
@@ -0,0 +1,102 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// BenchmarkStart starts the program as the platform does and waits until /_health answers 200. It reports the time
+// to ready, and the memory at rest 300 ms later.
+//
+//	go test ./bench -run - -bench Start -benchtime 20x
+//
+// BRASSWELL_BENCH_BINARY=FILE measures another build.
+func BenchmarkStart(b *testing.B) {
+	binary := os.Getenv("BRASSWELL_BENCH_BINARY")
+	if binary == "" {
+		binary = filepath.Join(b.TempDir(), "brasswell")
+		if out, err := exec.Command("go", "build", "-trimpath", "-o", binary, "../cmd/brasswell").CombinedOutput(); err != nil {
+			b.Fatalf("%v: %s", err, out)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	config := filepath.Join(b.TempDir(), "config.json")
+	text, err := json.Marshal(map[string]any{
+		"listen": address, "discovery": "127.0.0.1:1", "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
+		"known": map[string]any{"seq": 1, "whole": true, "hosts": []any{
+			map[string]any{"host": "node-0", "dial": "127.0.0.1:1", "site": "room", "health": "up"},
+		}},
+		"settings": map[string]any{
+			"instances": 1, "discovery": "push", "zones": []string{"room"},
+			"request_classes": []any{map[string]any{"name": "search", "aim_ms": 750, "give_up_ms": 2000, "effect": "free", "worth": 1}},
+			"limits":          map[string]any{"cancel": true, "max_attempts": 5, "conn_idle_ms": 5000, "connect_timeout_ms": 150},
+		},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		b.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var ready time.Duration
+	var memory float64
+	for b.Loop() {
+		cmd := exec.Command(binary)
+		cmd.Env = []string{"RELAY_CONFIG=" + config}
+		start := time.Now()
+		if err := cmd.Start(); err != nil {
+			b.Fatal(err)
+		}
+		for {
+			resp, err := client.Get("http://" + address + "/_health")
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Since(start) > 10*time.Second {
+				cmd.Process.Kill()
+				b.Fatal("never ready")
+			}
+		}
+		ready += time.Since(start)
+		time.Sleep(300 * time.Millisecond)
+		memory += resident(b, cmd.Process.Pid)
+		cmd.Process.Signal(syscall.SIGTERM)
+		cmd.Wait()
+	}
+	b.ReportMetric(float64(ready.Microseconds())/1000/float64(b.N), "ready-ms")
+	b.ReportMetric(memory/float64(b.N), "rest-MB")
+}
+
+// resident is a process's resident memory in MB.
+func resident(b *testing.B, pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	kb, err := strconv.Atoi(strings.Fields(rest)[0])
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(kb) / 1024
+}
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -8,8 +8,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -46,16 +44,6 @@
 }
 
 func (c *conn) roundTrip(ctx context.Context, m *Message, left time.Duration) (*http.Response, error) {
-	interim := 0
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
-			if interim++; interim > maxInterim {
-				return errInterim
-			}
-			c.unwatchRest() // the answer proper may be far off
-			return nil
-		},
-	})
 	header := maps.Clone(m.Header)
 	header.Set("X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	req := &http.Request{Method: m.Method, URL: m.target(c.endpoint.Address), Host: m.Host, Header: header, Body: http.NoBody}
@@ -113,8 +101,15 @@
 		return 0, errStray
 	}
 	if n > 0 {
-		c.watchRest()
 		c.framing.Feed(b[:n])
+		switch {
+		case c.framing.Interim() > maxInterim:
+			return 0, errInterim
+		case c.framing.AfterInterim():
+			c.unwatchRest() // the answer proper may be far off
+		default:
+			c.watchRest()
+		}
 	}
 	return n, err
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,11 +33,18 @@
 // object a line with --format json.
 func Main(ctx context.Context, args []string, getenv func(string) string, out, errOut io.Writer) int {
 	e := &env{getenv: getenv, out: out, errOut: errOut}
-	root := e.root()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
-	switch err := root.ExecuteContext(ctx); {
+	var err error
+	if len(args) == 0 && getenv("RELAY_CONFIG") != "" {
+		// The platform's start. A proxy needs no verbs, and their description is memory.
+		err = e.run(ctx, "")
+	} else {
+		root := e.root()
+		root.SetArgs(args)
+		root.SetOut(out)
+		root.SetErr(errOut)
+		err = root.ExecuteContext(ctx)
+	}
+	switch {
 	case err == nil:
 		return exitFine
 	case errors.As(err, new(answerNo)):
@@ -63,11 +70,8 @@
 		Args:          cobra.NoArgs,
 		SilenceErrors: true, SilenceUsage: true,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if e.getenv("RELAY_CONFIG") == "" {
-				c.Usage()
-				return errors.New("no verb, and RELAY_CONFIG is not set; `brasswell demo` needs nothing")
-			}
-			return e.run(c.Context(), "")
+			c.Usage()
+			return errors.New("no verb, and RELAY_CONFIG is not set; `brasswell demo` needs nothing")
 		},
 	}
 	root.PersistentFlags().StringVar(&e.format, "format", "text", "output for people (text) or programs (json)")
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -25,6 +25,8 @@
 	hasLength, hasCoding bool
 	length               int64 // the body's, as announced
 	skip                 int64 // bytes of a body that are still to come
+	interim              int   // heads with a 1xx status so far
+	afterInterim         bool  // the last head was one of those
 	lost                 bool  // it follows no longer
 	chunked              bool  // the message with which it stopped has chunks and no length
 }
@@ -82,6 +84,9 @@
 }
 
 func (f *Follower) endHead() {
+	if f.afterInterim = f.next; f.next {
+		f.interim++
+	}
 	f.lost = f.lost || f.hasCoding
 	f.chunked = f.hasCoding && !f.hasLength
 	if !f.next {
@@ -90,5 +95,11 @@
 	f.start, f.next, f.hasLength, f.hasCoding, f.length = false, false, false, false, 0
 }
 
+// Interim is how many heads with a 1xx status have come.
+func (f *Follower) Interim() int { return f.interim }
+
+// AfterInterim says whether a head with a 1xx status has ended and nothing has come behind it yet.
+func (f *Follower) AfterInterim() bool { return f.afterInterim && !f.start && f.filled == 0 && !f.lost }
+
 // Chunked says whether the message with which it stopped is framed by chunks and no length.
 func (f *Follower) Chunked() bool { return f.chunked }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -30,3 +30,25 @@
 		})
 	}
 }
+
+func TestInterimHeadsAreCounted(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	for name, c := range map[string]struct {
+		text  string
+		count int
+		after bool
+	}{
+		"none":                {"HTTP/1.1 200 OK\r\n\r\n", 0, false},
+		"one":                 {interim, 1, true},
+		"two":                 {interim + interim, 2, true},
+		"then the next begun": {interim + "HT", 1, false},
+		"then the answer":     {interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1, false},
+		"a head not ended":    {"HTTP/1.1 103 Early Hints\r\n", 0, false},
+	} {
+		var f Follower
+		f.Feed([]byte(c.text))
+		if f.Interim() != c.count || f.AfterInterim() != c.after {
+			t.Errorf("%s: %d, after %t; want %d, %t", name, f.Interim(), f.AfterInterim(), c.count, c.after)
+		}
+	}
+}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -257,7 +257,7 @@
 		write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text[:len(text)/2]))
 		return false
 	case happens(f.Spoil):
-		return write(c, spoilt[dice.IntN(len(spoilt))]) // the connection stays open, of no further use
+		return write(c, spoilt(dice.IntN)) // the connection stays open, of no further use
 	case happens(f.Extra):
 		return write(c, whole(text)+whole(text))
 	}
@@ -270,14 +270,22 @@
 	return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text
 }
 
-// spoilt is answers that no client may take for whole.
-var spoilt = []string{
-	"\x00\x01\x02 noise\r\n\r\n",
-	"HTTP/1.1 200 OK\r\n\r\npart of it",
-	"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 70<<10),
-	"HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\nabcd",
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
-	"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+// spoilt is an answer that no client may take for whole, of the kind that pick chooses.
+func spoilt(pick func(n int) int) string {
+	kinds := [...]string{
+		"\x00\x01\x02 noise\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\npart of it",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\nabcd",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+	}
+	const endless = 2 // and it keeps coming
+	k := pick(len(kinds))
+	if k == endless {
+		return kinds[k] + strings.Repeat("x", 70<<10)
+	}
+	return kinds[k]
 }
 
 func write(c net.Conn, text string) bool {
