--- /dev/null
+++ b/balance/property_test.go
@@ -0,0 +1,285 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// world is what a property test knows: what it has told the module, and what the module has done.
+type world struct {
+	fatal   func(format string, args ...any)
+	now     time.Duration
+	set     Settings
+	b       *Balancer
+	entries map[string]Entry
+	reqs    map[string]*tracked
+	open    []string // ids with no final answer, or with an attempt out
+	timers  []timer
+	actions []string
+}
+
+// tracked is one request as the test sees it.
+type tracked struct {
+	class    Class
+	end      time.Duration
+	final    bool
+	started  bool
+	attempts []try
+}
+
+type try struct {
+	server Entry // as listed when it was sent
+	at     time.Duration
+	over   bool
+	unrun  bool
+}
+
+func (w *world) note(format string, v ...any) {
+	w.actions = append(w.actions, fmt.Sprintf("%v ", w.now)+fmt.Sprintf(format, v...))
+}
+
+func (w *world) Send(id, server string, timeout time.Duration) {
+	w.note("send %s %s %v", id, server, timeout)
+	q, e := w.reqs[id], w.entries[server]
+	if q.final || w.now > q.end {
+		w.fatal("%s is sent to %s after its end", id, server)
+	}
+	if e.State != InService {
+		w.fatal("%s is sent to %s, which is not in service", id, server)
+	}
+	if len(q.attempts) >= w.set.MaxAttempts {
+		w.fatal("%s is sent more than %d times", id, w.set.MaxAttempts)
+	}
+	for _, a := range q.attempts {
+		if a.over && a.unrun {
+			continue
+		}
+		switch c := q.class; {
+		case c.Effect == SingleShot:
+			w.fatal("%s is sent to %s, though it may have run", id, server)
+		case c.Effect == Guarded && w.now >= a.at+c.Window:
+			w.fatal("%s is sent to %s after its window", id, server)
+		case c.Effect == Guarded && (c.Group == GroupZone && a.server.Zone != e.Zone || c.Group == GroupCell && a.server.Cell != e.Cell):
+			w.fatal("%s is sent to %s, outside its group", id, server)
+		}
+	}
+	q.attempts = append(q.attempts, try{server: e, at: w.now})
+}
+
+func (w *world) Refuse(id string, wait time.Duration) {
+	w.note("refuse %s %v", id, wait)
+	w.finish(id)
+	q := w.reqs[id]
+	for _, a := range q.attempts {
+		if !(a.over && a.unrun) && q.class.Effect != Free && !(q.class.Effect == Guarded && q.class.Group == GroupAll) {
+			w.fatal("%s is refused, though it may have run", id)
+		}
+	}
+}
+
+func (w *world) Fail(id string) {
+	w.note("fail %s", id)
+	w.finish(id)
+}
+
+func (w *world) finish(id string) {
+	q := w.reqs[id]
+	if q.final {
+		w.fatal("%s gets a second final answer", id)
+	}
+	q.final = true
+}
+
+func (w *world) Cancel(id string, attempt int) {
+	w.note("cancel %s %d", id, attempt)
+	if q := w.reqs[id]; attempt >= len(q.attempts) || q.attempts[attempt].over {
+		w.fatal("%s: attempt %d is called off, which is not out", id, attempt)
+	}
+}
+func (w *world) SetTimer(d time.Duration, token uint64) {
+	if d < 0 {
+		w.fatal("a timer of %v", d)
+	}
+	w.timers = append(w.timers, timer{w.now + d, token})
+}
+func (w *world) Watch()          { w.note("watch") }
+func (w *world) Log(line string) { w.note("log %s", line) }
+
+// advance goes to a time and rings what is due on the way.
+func (w *world) advance(to time.Duration) {
+	for {
+		next := -1
+		for i, t := range w.timers {
+			if t.at <= to && (next < 0 || t.at < w.timers[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			w.now = max(w.now, to)
+			return
+		}
+		t := w.timers[next]
+		w.timers = slices.Delete(w.timers, next, next+1)
+		w.now = max(w.now, t.at)
+		w.b.Timer(w.now, t.token)
+	}
+}
+
+// result ends an attempt.
+func (w *world) result(id string, n int, o Outcome) {
+	q := w.reqs[id]
+	q.attempts[n].over, q.attempts[n].unrun = true, o.ProvesUnrun()
+	if o == OK {
+		q.final = true // the host answers with it
+	}
+	w.b.Result(w.now, Result{ID: id, Attempt: n, Outcome: o, Latency: w.now - q.attempts[n].at, Finished: q.final})
+}
+
+// check is what must hold after each event.
+func (w *world) check() {
+	w.open = slices.DeleteFunc(w.open, func(id string) bool {
+		q := w.reqs[id]
+		if !q.final && !q.started && w.now > q.end {
+			w.fatal("%s has no answer at its end", id)
+		}
+		return q.final && !slices.ContainsFunc(q.attempts, func(a try) bool { return !a.over })
+	})
+	if len(w.b.requests) > len(w.open) {
+		w.fatal("%d records for %d requests", len(w.b.requests), len(w.open))
+	}
+}
+
+// event is one thing that happens, drawn ahead so that it can be played twice.
+type event struct {
+	kind, pick, class int
+	wait              time.Duration
+	left              float64 // of the class's patience
+	outcome           Outcome
+	state             State
+	boot              bool
+}
+
+var drawEvent = rapid.Custom(func(t *rapid.T) event {
+	return event{
+		kind: rapid.IntRange(0, 11).Draw(t, "kind"), pick: rapid.IntRange(0, 999).Draw(t, "pick"),
+		class: rapid.IntRange(0, 4).Draw(t, "class"),
+		wait:  rapid.SampledFrom([]time.Duration{0, 0, ms, 20 * ms, 100 * ms, 400 * ms}).Draw(t, "wait"),
+		left:  rapid.SampledFrom([]float64{1, 1, 1, 0.9, 0.5, 0}).Draw(t, "left"), outcome: Outcome(rapid.IntRange(int(OK), int(Rejected)).Draw(t, "outcome")),
+		state: State(rapid.IntRange(int(InService), int(Gone)).Draw(t, "state")), boot: rapid.Bool().Draw(t, "boot"),
+	}
+})
+
+// play plays events from the start and then lets all time run out.
+func play(fatal func(string, ...any), set Settings, servers int, seed uint64, events []event) *world {
+	w := &world{fatal: fatal, now: time.Hour, set: set, entries: map[string]Entry{}, reqs: map[string]*tracked{}}
+	var err error
+	if w.b, err = New(set, seed, w); err != nil {
+		fatal("%v", err)
+	}
+	list := fleet(servers)
+	for _, e := range list {
+		w.entries[e.ID] = e
+	}
+	w.b.Update(w.now, Full, list)
+	for n, e := range events {
+		w.advance(w.now + e.wait)
+		switch {
+		case e.kind < 5:
+			id, class := fmt.Sprint("r", n), set.Classes[e.class]
+			left := time.Duration(e.left * float64(class.GiveUp))
+			w.reqs[id] = &tracked{class: class, end: w.now + left}
+			w.open = append(w.open, id)
+			w.b.Submit(w.now, Request{ID: id, Class: e.class, Left: left})
+		case e.kind < 9 && len(w.open) > 0:
+			id := w.open[e.pick%len(w.open)]
+			for i, a := range w.reqs[id].attempts {
+				if !a.over {
+					w.result(id, i, e.outcome)
+					break
+				}
+			}
+		case e.kind == 9:
+			s := list[e.pick%len(list)]
+			s.State = e.state
+			if e.boot {
+				s.Boot = w.now
+			}
+			w.entries[s.ID] = s
+			w.b.Update(w.now, Delta, []Entry{s})
+		case e.kind == 10 && len(w.open) > 0:
+			if id := w.open[e.pick%len(w.open)]; !w.reqs[id].final {
+				w.reqs[id].final = true
+				w.b.Dropped(w.now, id)
+			}
+		case e.kind == 11:
+			w.b.Update(w.now, ListFailed, nil)
+		}
+		w.check()
+	}
+	// What is out ends by its time; then nothing may be left.
+	w.advance(w.now + time.Minute)
+	for _, id := range slices.Clone(w.open) {
+		for i, a := range w.reqs[id].attempts {
+			if !a.over {
+				w.result(id, i, TimedOut)
+			}
+		}
+	}
+	w.check()
+	w.advance(w.now + time.Minute)
+	return w
+}
+
+// TestProperties holds random events against the four rules: one answer by its end and nothing after it, effects
+// within their class, nothing to who is not in service; and no record or timer of a request is left at the end.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := testSettings()
+		set.Instances = rapid.IntRange(1, 9).Draw(t, "instances")
+		set.Layer = rapid.IntRange(0, 2).Draw(t, "layer")
+		set.AskForList = rapid.Bool().Draw(t, "ask")
+		set.RetryAfter = rapid.Bool().Draw(t, "retryAfter")
+		set.MaxRetryAfter = time.Second
+		for i := range set.Classes {
+			set.Classes[i].Window = 300 * ms // so that windows end before requests do
+		}
+		servers := rapid.IntRange(1, 40).Draw(t, "servers")
+		seed := rapid.Uint64().Draw(t, "seed")
+		events := rapid.SliceOfN(drawEvent, 80, 250).Draw(t, "events")
+		w := play(t.Fatalf, set, servers, seed, events)
+		if len(w.open) != 0 || len(w.b.requests) != 0 || len(w.b.held) != 0 || w.b.inFlight != 0 {
+			t.Fatalf("left over: %v open, %d records, %d held, %d in flight", w.open, len(w.b.requests), len(w.b.held), w.b.inFlight)
+		}
+		for _, s := range w.b.servers {
+			if s.inFlight != 0 {
+				t.Fatalf("%s has %d in flight", s.id, s.inFlight)
+			}
+		}
+		if again := play(t.Fatalf, set, servers, seed, events); !slices.Equal(w.actions, again.actions) {
+			t.Fatal("the same events gave other actions")
+		}
+	})
+}
+
+// TestTimersGoWithTheirRequest: a timer that stays would hold the record of a request that is over until its deadline.
+func TestTimersGoWithTheirRequest(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(6))
+	for i := range 3 * tailSeen {
+		id := fmt.Sprint("r", i)
+		f.submit(id, 0)
+		f.advance(f.now + ms)
+		if i%2 == 0 {
+			f.result(id, 0, OK)
+		} else {
+			f.b.Dropped(f.now, id)
+			f.result(id, 0, Canceled)
+		}
+		if len(f.b.timers) != 0 || len(f.b.requests) != 0 {
+			t.Fatalf("after %s: %d timers and %d records", id, len(f.b.timers), len(f.b.requests))
+		}
+	}
+}
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -1,8 +1,6 @@
 package backends
 
 import (
-	"brasswell/internal/framing"
-
 	"context"
 	"io"
 	"maps"
@@ -13,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"brasswell/internal/framing"
 )
 
 // conn is one connection to a backend. The socket is wrapped to see what net/http does not tell: whether the
--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -2,8 +2,6 @@
 package backends
 
 import (
-	"brasswell/balance"
-	"brasswell/internal/body"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +9,9 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"brasswell/balance"
+	"brasswell/internal/body"
 )
 
 const (
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -1,7 +1,6 @@
 package backends
 
 import (
-	"brasswell/internal/framing"
 	"context"
 	"fmt"
 	"net"
@@ -10,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"brasswell/internal/framing"
 )
 
 // Pool holds the connections to all backends. Its size is bounded by limit, and an idle connection's life by
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -2,7 +2,6 @@
 package callers
 
 import (
-	"brasswell/internal/framing"
 	"context"
 	"errors"
 	"net"
@@ -10,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"brasswell/internal/framing"
 )
 
 // Set tracks the callers' connections within their share of the sockets. Up to soft all are kept. Beyond,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,13 +3,6 @@
 package front
 
 import (
-	"brasswell/balance"
-	"brasswell/internal/backends"
-	"brasswell/internal/body"
-	"brasswell/internal/callers"
-	"brasswell/internal/host"
-	"brasswell/internal/restart"
-	"brasswell/internal/settings"
 	"errors"
 	"fmt"
 	"net/http"
@@ -20,13 +13,19 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
 
-const (
-	// leftoverWait is how long what is left of a request that is turned away may hold its connection.
-	leftoverWait = 100 * time.Millisecond
+	"brasswell/balance"
+	"brasswell/internal/backends"
+	"brasswell/internal/body"
+	"brasswell/internal/callers"
+	"brasswell/internal/host"
+	"brasswell/internal/restart"
+	"brasswell/internal/settings"
 )
 
+// leftoverWait is how long what is left of a request that is turned away may hold its connection.
+const leftoverWait = 100 * time.Millisecond
+
 // hopByHop are the headers that concern one connection only, and those that the proxy writes itself.
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -24,6 +24,11 @@
 
 // serve starts the fleet's proxy and returns its address and what ends it.
 func serve(t testing.TB, f *standin.Fleet) (address string, end func()) {
+	t.Helper()
+	return serveLogging(t, f, slog.New(slog.DiscardHandler))
+}
+
+func serveLogging(t testing.TB, f *standin.Fleet, log *slog.Logger) (address string, end func()) {
 	t.Helper()
 	text, err := f.Config(64, 1024)
 	if err != nil {
@@ -33,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := platform.ProxyConfig(proxy.DefaultOptions(), slog.New(slog.DiscardHandler))
+	c, err := platform.ProxyConfig(proxy.DefaultOptions(), log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,6 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	f.OnMove = p.MoveDiscovery
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- p.Serve(ctx) }()
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"brasswell/internal/standin/audit"
@@ -113,9 +114,14 @@
 	b.running.Wait()
 }
 
-// Return starts the process again at its address, cold.
+// Return starts the process again, cold: at its address, or at another where some socket of the machine has taken its
+// port meanwhile. List it after that.
 func (b *Backend) Return() error {
-	if err := b.start(b.address); err != nil {
+	err := b.start(b.Address())
+	if errors.Is(err, syscall.EADDRINUSE) {
+		err = b.start("")
+	}
+	if err != nil {
 		return err
 	}
 	b.mu.Lock()
@@ -132,7 +138,11 @@
 }
 
 // Address is where it listens.
-func (b *Backend) Address() string { return b.address }
+func (b *Backend) Address() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.address
+}
 
 // Born is when it last started; zero for long ago.
 func (b *Backend) Born() time.Time {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -31,9 +31,10 @@
 
 // DiscoveryFaults is what discovery does wrong.
 type DiscoveryFaults struct {
-	Silent bool // takes calls and never answers
-	Down   bool // answers 503
-	Half   bool // writes half a list and closes
+	Silent bool          // takes calls and never answers
+	Down   bool          // answers 503
+	Half   bool          // writes half a list and closes
+	Late   time.Duration // news stand that long before they are told
 }
 
 // Discovery is a stand-in for the list service, by the protocol: the whole list, or a watch on changes.
@@ -138,6 +139,12 @@
 		d.await(r.Context(), from, time.Duration(holdMS)*time.Millisecond)
 	}
 	d.mu.Lock()
+	late := d.faults.Late
+	d.mu.Unlock()
+	if late > 0 {
+		pause(r.Context(), late)
+	}
+	d.mu.Lock()
 	f, l := d.faults, d.list(from)
 	d.mu.Unlock()
 	switch {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -58,7 +58,9 @@
 	Books     *Books
 	Backends  []*Backend
 	Discovery *Discovery
-	config    FleetConfig
+	// OnMove is called with discovery's new address once it has moved; set it before Play.
+	OnMove func(address string)
+	config FleetConfig
 }
 
 // NewFleet starts a fleet on free loopback ports.
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -94,6 +94,24 @@
 		}()
 		return func() error { stop(); <-done; return nil }, nil
 	},
+	"discovery-late": func(p *play, s Step) (func() error, error) {
+		p.discovery.Late = time.Duration(s.Size * float64(time.Second))
+		p.fleet.Discovery.Set(p.discovery)
+		return func() error {
+			p.discovery.Late = 0
+			p.fleet.Discovery.Set(p.discovery)
+			return nil
+		}, nil
+	},
+	"discovery-moved": func(p *play, _ Step) (func() error, error) {
+		if err := p.fleet.Discovery.Move(); err != nil {
+			return nil, err
+		}
+		if p.fleet.OnMove != nil {
+			p.fleet.OnMove(p.fleet.Discovery.Address())
+		}
+		return nil, nil
+	},
 	"discovery-silent": onDiscovery(func(f *DiscoveryFaults, on bool) { f.Silent = on }),
 	"discovery-down":   onDiscovery(func(f *DiscoveryFaults, on bool) { f.Down = on }),
 	"discovery-half":   onDiscovery(func(f *DiscoveryFaults, on bool) { f.Half = on }),
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -283,3 +283,26 @@
 		}
 	}
 }
+
+// TestADeadBackendsPortMayBeTaken: it comes back at another, and the list says so.
+func TestADeadBackendsPortMayBeTaken(t *testing.T) {
+	f, err := NewFleet(FleetConfig{Backends: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	b := f.Backends[0]
+	b.Die()
+	taken, err := listen(b.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	if err := b.Return(); err != nil {
+		t.Fatal(err)
+	}
+	f.List(0, "up")
+	if b.Address() == taken.Addr().String() || !strings.Contains(string(f.Discovery.Whole()), b.Address()) {
+		t.Errorf("back at %s, listed as %s", b.Address(), f.Discovery.Whole())
+	}
+}
