Count a long attempt against its server only where others answer meanwhile

Cause: each attempt that stayed out over its class's tail was one failure of its server. At the rate of a full core hundreds are out at one moment, and one pause, also of the proxy's own, put several of each server over the tail: healthy servers were ejected up to the panic threshold though no attempt had failed.

Change: it counts only if the server has answered nothing since the attempt was sent, if an attempt as young has been answered by someone, and 50 ms after the last that counted; else it is looked at again.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,6 +70,8 @@
 	failMemory = 0.15
 	ejectBase  = 2 * time.Second
 	ejectMost  = 16 * time.Second
+	// stallStep is how long apart attempts that stay out too long count against their server.
+	stallStep = 50 * time.Millisecond
 	// panicShare of the slice stays whatever its members' failures: if so many look bad, the cause is shared.
 	panicShare = 0.5
 )
@@ -88,6 +90,8 @@
 	ejected   time.Duration // until when it is passed over; 0 if it is not
 	ejections int           // in a row, without a success between
 	trial     bool          // the request that tries an ejected server is out
+	answered  time.Duration // when it last answered anything
+	stalledAt time.Duration // when its silence last counted against it
 	late      float64       // smoothed share of late answers
 
 	// The budget while cold: tokens earned at the warm members' rate times the cold share.
@@ -145,7 +149,8 @@
 	patience []patience // by class, how long a client's try may take
 	quota    []bucket   // by tenant
 	retries  float64
-	served   rate // requests answered in time by servers
+	served   rate          // requests answered in time by servers
+	newest   time.Duration // when the youngest of the attempts that were answered was sent
 
 	timers    map[uint64]func(now time.Duration)
 	lastTimer uint64
@@ -456,6 +461,10 @@
 	if q.out == 0 {
 		b.inFlight--
 	}
+	switch r.Outcome {
+	case OK, Failed, QueueFull, Rejected:
+		a.s.answered, b.newest = now, max(b.newest, a.at)
+	}
 	b.judge(now, a.s, r.Outcome)
 	if r.Finished {
 		q.answered = true
@@ -606,13 +615,23 @@
 }
 
 // stalled notes that an attempt is out for longer than nearly all of its class take. A silent server shows
-// in nothing else, so it counts as a failure until an answer comes. No second copy is sent: copies took the
-// retry budget from real failures and multiplied from tier to tier, which cost more than they saved.
+// in nothing else, so it counts as a failure until an answer comes. It counts only where others are answered
+// meanwhile and this server says nothing at all: a server that has answered since the attempt was sent is
+// not dead, and where nobody has answered anything as young, the silence is the network's or our own. At a
+// high rate many attempts meet one short pause; they count once in stallStep. No second copy is sent: copies
+// took the retry budget from real failures and multiplied from tier to tier, which cost more than they saved.
 func (b *Balancer) stalled(now time.Duration, q *request, index int) {
-	if a := &q.attempts[index]; !a.over {
-		a.s.failRun++
-		b.considerEjection(now, a.s, false)
+	a := &q.attempts[index]
+	if a.over || q.answered || a.s.answered > a.at {
+		return
+	}
+	if b.newest < a.at || now < a.s.stalledAt+stallStep {
+		b.afterFor(q, stallStep, func(now time.Duration) { b.stalled(now, q, index) })
+		return
 	}
+	a.s.stalledAt = now
+	a.s.failRun++
+	b.considerEjection(now, a.s, false)
 }
 
 // Started takes in that the answer to a request has begun to stream: no further send, no deadline.
