Open a proxy from its file in one place, and drop what nothing calls

Need: the demo, the fault tests and the benchmark each wrote the same steps from a platform's file to a proxy; two readers of that file each noted discovery's address; an exported method, a constant and an error's place served nothing.

Change: config.NewProxy is those steps once; parsePlatform notes the address. No behaviour changed, no test changed but for the call.

--- a/bench/child_test.go
+++ b/bench/child_test.go
@@ -24,7 +24,6 @@
 	"testing"
 
 	"brasswell/internal/config"
-	"brasswell/internal/proxy"
 )
 
 // childRole is the variable that makes the test binary one of the processes that are measured.
@@ -205,15 +204,7 @@
 	if err != nil {
 		return err
 	}
-	platform, err := config.ParsePlatform(text)
-	if err != nil {
-		return err
-	}
-	c, err := platform.ProxyConfig(proxy.DefaultOptions(), slog.New(slog.DiscardHandler))
-	if err != nil {
-		return err
-	}
-	p, err := proxy.New(c)
+	p, err := config.NewProxy(text, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return err
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -78,6 +78,7 @@
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
+	c.fileDiscovery = c.Discovery
 	return c, nil
 }
 
@@ -88,7 +89,6 @@
 	if err != nil {
 		return nil, err
 	}
-	c.fileDiscovery = c.Discovery
 	for name, field := range map[string]*string{
 		"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen, "RELAY_DISCOVERY": &c.Discovery,
 	} {
@@ -108,7 +108,6 @@
 	if err != nil {
 		return nil, err
 	}
-	c.fileDiscovery = c.Discovery
 	return c, c.validate()
 }
 
@@ -137,6 +136,19 @@
 	}, nil
 }
 
+// NewProxy opens the proxy that a file's text describes, at the default options. It must be served or closed.
+func NewProxy(text []byte, log *slog.Logger) (*proxy.Proxy, error) {
+	platform, err := ParsePlatform(text)
+	if err != nil {
+		return nil, err
+	}
+	c, err := platform.ProxyConfig(proxy.DefaultOptions(), log)
+	if err != nil {
+		return nil, err
+	}
+	return proxy.New(c)
+}
+
 func (c *Platform) validate() (err error) {
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return fmt.Errorf("RELAY_LISTEN: %q: %w", c.Listen, err)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -157,15 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	platform, err := config.ParsePlatform(text)
-	if err != nil {
-		return nil, err
-	}
-	c, err := platform.ProxyConfig(proxy.DefaultOptions(), slog.New(slog.DiscardHandler))
-	if err != nil {
-		return nil, err
-	}
-	return proxy.New(c)
+	return config.NewProxy(text, slog.New(slog.DiscardHandler))
 }
 
 func summary(o Options, f *standin.Fleet, callers *standin.Callers, played time.Duration, whole bool) *Summary {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -301,8 +301,5 @@
 	d.options = o
 }
 
-// Version is that of the list that is held, or -1.
-func (d *Client) Version() int64 { return d.seq.Load() }
-
 // CloseIdle ends the connections that no call uses; it is for the end of a proxy.
 func (d *Client) CloseIdle() { d.client.CloseIdleConnections() }
--- a/internal/operator/value.go
+++ b/internal/operator/value.go
@@ -23,7 +23,6 @@
 	aList    kind = "a list"
 	aTable   kind = "a table"
 	aDate    kind = "a date or time"
-	noSuch   kind = ""
 	maxItems      = 256 // in a list
 )
 
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"brasswell/internal/config"
-	"brasswell/internal/proxy"
 	"brasswell/internal/standin"
 	"brasswell/internal/standin/audit"
 )
@@ -34,15 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	platform, err := config.ParsePlatform(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := platform.ProxyConfig(proxy.DefaultOptions(), log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p, err := proxy.New(c)
+	p, err := config.NewProxy(text, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
@@ -154,5 +153,3 @@
 	f.Discovery.close()
 	return nil
 }
-
-var errNoSuch = errors.New("no such fault")
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sort"
@@ -117,6 +118,8 @@
 	"discovery-half":   onDiscovery(func(f *DiscoveryFaults, on bool) { f.Half = on }),
 }
 
+var errNoSuch = errors.New("no such fault")
+
 // Kinds is the names of all faults, sorted.
 func Kinds() []string {
 	names := make([]string, 0, len(kinds))
