Admit by how long answers take, and tell a client's last try by its class's usual patience

Cause: the limit grew by 1/limit and fell by a half with late answers, so its level did not depend on the fleet: 64 in each instance into a burst where 25 is the knee, 36 to 60 where 100 were needed. One last try with a long patience made all first tries look too late. A slow server was cleared by its own late answers.

Change: each answer moves the limit by its time against a target; free classes are held 0.05 of their aim; the usual patience is found by majority vote; answers over twice their class's mean do not clear a server that is slower than its peers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,30 +31,37 @@
 	// loadMemory, are so many times the subset's mean. Slow members hold requests longer and so get fewer.
 	loadCap    = 1.1
 	loadMemory = 700 * time.Millisecond
-	// The admission limit on requests in flight is halved by as many late answers as it counts, and grows by
-	// one for each so many answers in time. lateShare of the aim is late: the rest is room for a second try.
-	// Some answers are late however few are in flight; what share, up to naturalMost, is smoothed by
-	// naturalStep while the limit is far, and so many do not count. Nor do those of a server whose own share,
-	// smoothed by lateStep, is over its peers' by sickMargin: that is the ejections' and the caps' affair.
-	limitFirst, limitLeast = 64.0, 4.0
-	limitCut               = 0.5
-	lateShare              = 0.75
-	naturalStep            = 0.02
-	naturalMost            = 0.3
-	lateStep, sickMargin   = 0.1, 0.25
-	// holdShare of its aim is how long a request may be held before it is refused.
-	holdShare = 0.5
+	// The admission limit on requests in flight follows how long answers take. Each answer moves it by
+	// limitStep times how far it stays under its class's target, or is over it, where up to overMost targets
+	// count. The target is targetShare of the aim, or baseGain times what the class takes without a crowd if
+	// that is more: under that, no limit is low enough, and it would be cut for nothing. While little of it
+	// is used, each answer takes unusedStep off it, down to limitIdle: no surge must find one never tried.
+	limitFirst, limitLeast, limitIdle = 64.0, 4.0, 16.0
+	limitStep, unusedStep, overMost   = 0.5, 0.1, 3.0
+	targetShare, baseGain             = 0.44, 1.4
+	// baseShare of the active servers' number in flight is no crowd, whatever the limit says.
+	baseShare = 0.5
+	// A server's slowness is its answers' time over their classes' means, counted up to slowMost. Of a server
+	// over its peers' by sickMargin, late answers do not move the limit, and those over overdueMost means do
+	// not clear it.
+	slowMost, slowStep, sickMargin = 4.0, 0.1, 0.5
+	overdueMost                    = 2.0
+	// meanStep smooths a class's means.
+	meanStep = 0.02
+	// holdShare of its aim is how long a request may be held before it is refused; holdFree where refusing is
+	// always harmless: its client comes again while an answer can still be in time, and of a last try it is
+	// known how old it is. Held for long, a try comes too late and so does the one after it.
+	holdShare, holdFree = 0.5, 0.05
 	// A class's cost is costQuantile of its answers' times, its tail tailQuantile; both are followed by
 	// quantileStep. minCost, in seconds, keeps them above 0.
 	costQuantile, tailQuantile, quantileStep, minCost = 0.25, 0.95, 0.1, 0.001
 	// tailSeen attempts are needed to tell the tail.
 	tailSeen = 12
-	// patienceSlack is by how much less patience than the longest shows a client's last tries.
-	patienceSlack = 5 * time.Millisecond
+	// Tries whose patience is within patienceSlack of their class's usual one may be of any age; votesMost is
+	// how many tries with another patience it takes to unseat the usual one.
+	patienceSlack, votesMost = 5 * time.Millisecond, 50
 	// nearLimit of the admission limit is where late repeats are turned away.
 	nearLimit = 0.9
-	// patienceSpell is how long it takes for a client's long wait to be forgotten, at least.
-	patienceSpell = 10 * time.Second
 	// stayLeast is the shortest wait that a refused client is told, less chance.
 	stayLeast = 100 * time.Millisecond
 	// vacantShare of the places may be empty before the list is sorted anew.
@@ -92,7 +99,7 @@
 	trial     bool          // the request that tries an ejected server is out
 	answered  time.Duration // when it last answered anything
 	stalledAt time.Duration // when its silence last counted against it
-	late      float64       // smoothed share of late answers
+	slow      float64       // its answers' time over their classes' means, less 1, smoothed
 
 	// The budget while cold: tokens earned at the warm members' rate times the cold share.
 	coldTokens float64
@@ -143,9 +150,10 @@
 	holding  bool
 	inFlight int        // requests with an attempt out
 	limit    float64    // how many of them are admitted
-	natural  float64    // the share of answers that are late without any crowd
 	tail     []tail     // by class, the time after which an attempt is late for its class
 	cost     []quantile // by class, a low quantile of its answers' seconds, which waiting distorts least
+	mean     []mean     // by class, its answers' mean seconds
+	base     []mean     // by class, the same of attempts that met no crowd
 	patience []patience // by class, how long a client's try may take
 	quota    []bucket   // by tenant
 	retries  float64
@@ -167,6 +175,7 @@
 		servers: map[string]*server{}, requests: map[string]*request{},
 		timers: map[uint64]func(time.Duration){}, retries: retryBurst / 2, limit: limitFirst,
 		cost: make([]quantile, len(settings.Classes)), tail: make([]tail, len(settings.Classes)),
+		mean: make([]mean, len(settings.Classes)), base: make([]mean, len(settings.Classes)),
 		patience: make([]patience, len(settings.Classes)),
 		quota:    make([]bucket, len(settings.Tenants)),
 	}, nil
@@ -197,7 +206,11 @@
 	b.hold(q)
 	b.retryHeld(now)
 	if q.held {
-		b.afterFor(q, min(time.Duration(holdShare*float64(c.Aim)), r.Left/2), func(now time.Duration) {
+		share := holdShare
+		if c.Effect == Free {
+			share = holdFree
+		}
+		b.afterFor(q, min(time.Duration(share*float64(c.Aim)), r.Left/2), func(now time.Duration) {
 			if q.held && !q.answered {
 				b.answer(now, q)
 			}
@@ -206,23 +219,25 @@
 	}
 }
 
-// useful is how long an answer to a fresh request earns something, and shortens the request's end to it where
-// its failure makes no client repeat it. (A free request that fails is sent again and costs more than
-// the rest of its late run; at the lower tiers a failure costs the upper tier's work.)
+// useful is how long a fresh request may wait and still be answered while that earns something. It shortens
+// the request's end to when that is over where its failure makes no client repeat it. (A free request that
+// fails is sent again and costs more than the rest of its late run; at the lower tiers a failure costs the
+// upper tier's work.)
 func (b *Balancer) useful(now time.Duration, q *request) time.Duration {
 	c := q.class
 	if b.set.Layer > 0 || c.LateWorth > 0 {
 		return q.Left
 	}
-	// A first try has all the patience of a try; who has less is at the end of its client's patience.
+	// A try with the usual patience may be the first. Any other is its client's last: it has all that is left
+	// of the client's patience, which tells how much has passed.
 	aim := c.Aim
-	if q.Left < b.patience[q.Class].longest()-patienceSlack {
+	if !b.patience[q.Class].usual(q.Left) {
 		aim -= c.GiveUp - q.Left
 	}
 	if aim > 0 && (c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll) {
 		q.end = min(q.end, now+aim)
 	}
-	return min(aim, q.Left)
+	return min(aim, q.Left) - time.Duration(float64(b.cost[q.Class])*float64(time.Second))
 }
 
 // tenantWorth is what a tenant's next request is worth: less beyond its quota, of which each instance
@@ -261,53 +276,60 @@
 // pressed says whether the admission limit is made use of; if not, what happens says nothing about it.
 func (b *Balancer) pressed() bool { return 2*float64(b.inFlight) > b.limit }
 
-// learn takes in what an attempt's outcome tells of its class.
-func (b *Balancer) learn(now time.Duration, q *request, s *server, r Result) {
+// learn takes in what an attempt's outcome tells of its class and of its server.
+func (b *Balancer) learn(q *request, s *server, r Result) {
+	took := r.Latency.Seconds()
 	if r.Outcome == OK {
 		b.cost[q.Class].observe(r.Latency, costQuantile)
-		b.patience[q.Class].observe(now, q.Left)
+		b.patience[q.Class].observe(q.Left)
+		b.mean[q.Class].observe(took)
 	}
-	if t := &b.tail[q.Class]; r.Outcome == OK || t.known() && r.Latency.Seconds() > float64(t.quantile) {
+	if t := &b.tail[q.Class]; r.Outcome == OK || t.known() && took > float64(t.quantile) {
 		t.observe(r.Latency, tailQuantile)
 		t.seen++
 	}
-	b.adapt(s, r.Outcome, r.Latency > time.Duration(lateShare*float64(q.class.Aim)))
-}
-
-// adapt moves the admission limit by an attempt's outcome.
-func (b *Balancer) adapt(s *server, o Outcome, late bool) {
-	switch o {
+	target := max(targetShare*q.class.Aim.Seconds(), baseGain*float64(b.base[q.Class]))
+	over := min(took/target, overMost)
+	switch r.Outcome {
 	case Canceled, Ignored, Rejected:
 		return // says nothing of how long the servers take
 	case QueueFull:
-		b.limit = max(b.limit-limitCut, limitLeast)
-		return
-	}
-	share := 0.0
-	if late {
-		share = 1
+		over = overMost
+	case OK:
+	default:
+		if over < 1 {
+			return // nor does a quick failure
+		}
 	}
-	s.late += lateStep * (share - s.late)
-	if !b.pressed() {
-		b.natural = min(b.natural+naturalStep*(share-b.natural), naturalMost)
-		return
+	if mean := float64(b.mean[q.Class]); mean > 0 && r.Outcome != QueueFull {
+		s.slow += slowStep * (min(took/mean, slowMost) - 1 - s.slow)
 	}
-	if late && b.sick(s) {
-		return
+	if !b.pressed() || float64(b.inFlight) <= baseShare*float64(len(b.active)) {
+		b.base[q.Class].observe(took)
 	}
-	b.limit = max(b.limit-limitCut*(share-b.natural), min(b.limit, limitLeast))
-	if o == OK && !late {
-		b.limit += 1 / b.limit
+	b.adapt(s, over)
+}
+
+// adapt moves the admission limit by an attempt's time over its target.
+func (b *Balancer) adapt(s *server, over float64) {
+	switch {
+	case !b.pressed():
+		if b.limit > limitIdle {
+			b.limit -= unusedStep
+		}
+	case over > 1 && b.sick(s):
+	default:
+		b.limit = max(b.limit+limitStep*(1-over), limitLeast)
 	}
 }
 
-// sick says whether a server answers late much more often than its peers: then the cause is its own.
+// sick says whether a server takes much longer than its peers: then the cause is its own, and no crowd.
 func (b *Balancer) sick(s *server) bool {
 	sum := 0.0
 	for _, m := range b.active {
-		sum += m.late
+		sum += m.slow
 	}
-	return s.late > sum/float64(max(len(b.active), 1))+sickMargin
+	return s.slow > sum/float64(max(len(b.active), 1))+sickMargin
 }
 
 func (b *Balancer) send(now time.Duration, q *request, s *server) {
@@ -457,7 +479,7 @@
 	a.s.track(now)
 	a.s.inFlight--
 	q.out--
-	b.learn(now, q, a.s, r)
+	b.learn(q, a.s, r)
 	if q.out == 0 {
 		b.inFlight--
 	}
@@ -465,7 +487,7 @@
 	case OK, Failed, QueueFull, Rejected:
 		a.s.answered, b.newest = now, max(b.newest, a.at)
 	}
-	b.judge(now, a.s, r.Outcome)
+	b.judge(now, a.s, r.Outcome, b.overdue(q, a.s, r))
 	if r.Finished {
 		q.answered = true
 	}
@@ -553,8 +575,14 @@
 	return s.ejected == 0 || now >= s.ejected && !s.trial
 }
 
+// overdue says whether a server answered far too late for the request's class, and is slower than its peers:
+// such an answer does not clear it.
+func (b *Balancer) overdue(q *request, s *server, r Result) bool {
+	return r.Outcome == OK && r.Latency.Seconds() > overdueMost*float64(b.mean[q.Class]) && b.sick(s)
+}
+
 // judge learns a server's health from an outcome: errors, time-outs and refusals count as failures.
-func (b *Balancer) judge(now time.Duration, s *server, o Outcome) {
+func (b *Balancer) judge(now time.Duration, s *server, o Outcome, overdue bool) {
 	failed := 0.0
 	switch o {
 	case Canceled, Ignored, Rejected:
@@ -562,6 +590,13 @@
 		return
 	case OK:
 		b.served.add(now)
+		if overdue {
+			s.trial = false
+			if s.ejected > 0 {
+				b.considerEjection(now, s, true) // its trial shows that it is as slow as before
+			}
+			return
+		}
 		s.failRun = 0
 		if s.ejected > 0 {
 			s.ejected, s.failRate, b.panicked = 0, 0, false
@@ -616,13 +651,14 @@
 
 // stalled notes that an attempt is out for longer than nearly all of its class take. A silent server shows
 // in nothing else, so it counts as a failure until an answer comes. It counts only where others are answered
-// meanwhile and this server says nothing at all: a server that has answered since the attempt was sent is
-// not dead, and where nobody has answered anything as young, the silence is the network's or our own. At a
+// meanwhile and this server says nothing at all, or is slower than its peers: a server that has answered
+// since the attempt was sent is not dead, and where nobody has answered anything as young, the silence is the
+// network's or our own. At a
 // high rate many attempts meet one short pause; they count once in stallStep. No second copy is sent: copies
 // took the retry budget from real failures and multiplied from tier to tier, which cost more than they saved.
 func (b *Balancer) stalled(now time.Duration, q *request, index int) {
 	a := &q.attempts[index]
-	if a.over || q.answered || a.s.answered > a.at {
+	if a.over || q.answered || a.s.answered > a.at && !b.sick(a.s) {
 		return
 	}
 	if b.newest < a.at || now < a.s.stalledAt+stallStep {
@@ -877,22 +913,29 @@
 	return time.Duration((0.5 + 0.5*b.random()) * float64(wait))
 }
 
-// patience follows how long a class's clients wait on a try: the longest of those served in this spell of
-// patienceSpell and the one before. What bad callers claim is never served, so it does not count, and an
-// honest caller who waited far longer than all others is forgotten.
+// patience holds the usual patience of a class's tries, found by a majority vote (Boyer and Moore) over those
+// served. A client gives each try but its last the same patience, and the last what is left. What bad callers
+// claim is never served, so it does not count.
 type patience struct {
-	current, previous time.Duration
-	until             time.Duration // the end of the current spell
+	left  time.Duration
+	votes int
 }
 
-func (p *patience) observe(now, left time.Duration) {
-	if now >= p.until {
-		p.previous, p.current, p.until = p.current, 0, now+patienceSpell
+func (p *patience) observe(left time.Duration) {
+	switch {
+	case p.votes == 0:
+		p.left, p.votes = left, 1
+	case p.usual(left):
+		p.votes = min(p.votes+1, votesMost)
+	default:
+		p.votes--
 	}
-	p.current = max(p.current, left)
 }
 
-func (p *patience) longest() time.Duration { return max(p.current, p.previous) }
+// usual says whether a try's patience tells nothing of its age; none does before any is known.
+func (p *patience) usual(left time.Duration) bool {
+	return p.votes == 0 || (left-p.left).Abs() <= patienceSlack
+}
 
 // rate is a smoothed count of events a second.
 type rate struct {
@@ -926,6 +969,16 @@
 	}
 }
 
+// mean is a smoothed mean of seconds; 0 until the first.
+type mean float64
+
+func (m *mean) observe(seconds float64) {
+	if *m == 0 {
+		*m = mean(seconds)
+	}
+	*m += meanStep * (mean(seconds) - *m)
+}
+
 // tail is the time that nearly all of a class's attempts take. From the first few it cannot be told: an
 // instance that has just started would take the first one's time for it and eject whoever takes longer.
 type tail struct {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -423,15 +423,16 @@
 func TestAdmissionPrefersWorth(t *testing.T) {
 	set := testSettings()
 	f := newFake(t, set, fleet(4))
-	f.b.limit = 2
-	f.submit("a", 0)
-	f.submit("b", 0)
+	f.b.limit = limitLeast
+	for i := range int(limitLeast) {
+		f.submit(fmt.Sprint("r", i), 0)
+	}
 	f.submit("cheap", 0)
 	f.submit("dear", 2)
 	if len(f.sent["cheap"])+len(f.sent["dear"]) != 0 {
 		t.Fatal("sent past the admission limit")
 	}
-	f.result("a", 0, OK)
+	f.result("r0", 0, OK)
 	if len(f.sent["dear"]) != 1 || len(f.sent["cheap"]) != 0 {
 		t.Fatal("the room went to the request of less worth")
 	}
@@ -840,26 +841,179 @@
 	}
 }
 
-// TestLongWaitIsForgotten: one client's long wait must not make everybody's first try a last one for good, not
-// even near the limit, and without it no try is refused.
-func TestLongWaitIsForgotten(t *testing.T) {
+// TestPatienceTellsAge: near the limit, a try with its class's usual patience waits for room, since it may be a
+// first one; a last try, longer or shorter, is as old as it is short of its client's whole patience.
+func TestPatienceTellsAge(t *testing.T) {
 	f := newFake(t, testSettings(), fleet(4))
-	f.b.Submit(f.now, Request{ID: "long", Class: 2, Left: 2 * time.Second})
-	f.result("long", 0, OK)
-	for i := range 50 {
+	for i := range 20 {
 		id := fmt.Sprint("usual", i)
 		f.b.Submit(f.now, Request{ID: id, Class: 2, Left: 900 * ms})
-		if len(f.sent[id]) == 0 {
-			t.Fatalf("far from the limit, %s", f.final[id])
-		}
 		f.result(id, 0, OK)
-		f.advance(f.now + patienceSpell/20)
 	}
-	f.b.limit = 1
-	f.b.Submit(f.now, Request{ID: "near", Class: 2, Left: 900 * ms})
-	f.b.Submit(f.now, Request{ID: "at", Class: 2, Left: 900 * ms})
-	if len(f.sent["near"]) == 0 || f.final["at"] != "" {
-		t.Fatalf("near the limit: sent %v, then %q", f.sent["near"], f.final["at"])
+	f.b.limit = limitLeast
+	for i := range int(limitLeast) {
+		f.b.Submit(f.now, Request{ID: fmt.Sprint("full", i), Class: 2, Left: 900 * ms})
+	}
+	for _, c := range []struct {
+		id    string
+		left  time.Duration
+		final string
+	}{
+		{"usual", 900 * ms, ""},
+		{"usual, a little late", 896 * ms, ""},
+		{"last, 0.2 s old", 1800 * ms, ""},
+		{"last, 0.985 s old, aim 1 s, 10 ms needed", 1015 * ms, ""},
+		{"last, 0.995 s old", 1005 * ms, "refused"},
+		{"last, 1.5 s old", 500 * ms, "refused"},
+	} {
+		f.b.Submit(f.now, Request{ID: c.id, Class: 2, Left: c.left})
+		if f.final[c.id] != c.final {
+			t.Errorf("%s: final answer %q, want %q", c.id, f.final[c.id], c.final)
+		}
+	}
+}
+
+// TestUsualPatienceIsUnseated: a few other tries do not move the usual patience, votesMost and more do.
+func TestUsualPatienceIsUnseated(t *testing.T) {
+	var p patience
+	if !p.usual(time.Second) || !p.usual(0) {
+		t.Fatal("before any try is known, one tells its age")
+	}
+	for range 3 * votesMost {
+		p.observe(900 * ms)
+	}
+	for i := range votesMost - 1 {
+		p.observe(time.Duration(i) * 20 * ms)
+	}
+	if !p.usual(900*ms) || p.usual(300*ms) {
+		t.Fatalf("after %d others the usual patience is %v", votesMost-1, p.left)
+	}
+	for range votesMost {
+		p.observe(300 * ms)
+	}
+	if !p.usual(300*ms) || p.usual(900*ms) {
+		t.Fatalf("after a change of the callers it is %v", p.left)
+	}
+}
+
+// answers plays n answers, each while crowd requests are out, and returns the limit's lowest and last value.
+func answers(f *fake, n, crowd int, took func(i int, server string) time.Duration) (lowest, last float64) {
+	lowest = f.b.limit
+	var out []string
+	for i := range n {
+		for len(out) < crowd && f.b.admitted() {
+			id := fmt.Sprint("q", f.now, i, len(out))
+			f.submit(id, 0)
+			out = append(out, id)
+		}
+		id := out[0]
+		out = out[1:]
+		d := took(i, f.sent[id][0])
+		f.now += ms
+		f.ended[id] = true
+		f.b.Result(f.now, Result{ID: id, Outcome: OK, Latency: d, Finished: true})
+		lowest = min(lowest, f.b.limit)
+	}
+	return lowest, f.b.limit
+}
+
+// TestLimitFollowsTheTarget: it grows under the target, falls over it, and stays where answers take it.
+func TestLimitFollowsTheTarget(t *testing.T) {
+	aim := testSettings().Classes[0].Aim
+	target := time.Duration(targetShare * float64(aim))
+	f := newFake(t, testSettings(), fleet(8))
+	if _, last := answers(f, 2000, 500, func(int, string) time.Duration { return target / 2 }); last < 400 {
+		t.Errorf("answers in half the target: the limit is %.0f, want what is asked for", last)
+	}
+	f = newFake(t, testSettings(), fleet(8))
+	if _, last := answers(f, 2000, 500, func(int, string) time.Duration { return target }); last < limitFirst-1 || last > limitFirst+1 {
+		t.Errorf("answers at the target: the limit is %.0f, want %.0f", last, limitFirst)
+	}
+	// Servers that work on 20 requests at a time: their answers take longer the more are out.
+	f = newFake(t, testSettings(), fleet(8))
+	if _, last := answers(f, 4000, 500, func(int, string) time.Duration {
+		return time.Duration(float64(target) * float64(f.b.inFlight) / 20)
+	}); last < 18 || last > 23 {
+		t.Errorf("a fleet that reaches its target at 20 in flight: the limit is %.1f", last)
+	}
+}
+
+// TestLimitRisesWhereTheAimIsShort: answers that take longer than the target however few are out are no crowd.
+// The limit falls until that is seen and then rises to what is asked for.
+func TestLimitRisesWhereTheAimIsShort(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(8))
+	took := time.Duration(1.5 * targetShare * float64(f.b.set.Classes[0].Aim))
+	lowest, last := answers(f, 3000, 100, func(int, string) time.Duration { return took })
+	if lowest > 10 || last < 95 {
+		t.Errorf("the limit fell to %.0f and is %.0f at last, want 100", lowest, last)
+	}
+}
+
+// TestUnusedLimitIsTakenBack: what nothing has tried is not there when a surge comes.
+func TestUnusedLimitIsTakenBack(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(8))
+	if _, last := answers(f, 1000, 5, func(int, string) time.Duration { return 10 * ms }); last > limitIdle {
+		t.Errorf("5 in flight: the limit is %.0f", last)
+	}
+	f = newFake(t, testSettings(), fleet(8))
+	if _, last := answers(f, 5000, 30, func(int, string) time.Duration { return 10 * ms }); last < 45 || last > limitFirst+1 {
+		t.Errorf("30 in flight: the limit is %.0f", last)
+	}
+}
+
+// TestSlowServerIsNotClearedByItsAnswers: a server that takes far longer than its peers is ejected for what stays
+// out, though it answers in between; a trial that is as slow keeps it out, a quick one brings it back.
+func TestSlowServerIsNotClearedByItsAnswers(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(6))
+	slow := f.b.slots[2]
+	took := func(s string, slowTakes time.Duration) time.Duration {
+		if s == slow.id {
+			return slowTakes
+		}
+		return 20 * ms
+	}
+	n := 0
+	type out struct {
+		id string
+		at time.Duration
+		d  time.Duration
+	}
+	var outs []out
+	// play lets a request come each 5 ms and returns how many the slow server got.
+	play := func(long, slowTakes time.Duration) (toSlow int) {
+		for until := f.now + long; f.now < until; {
+			n++
+			id := fmt.Sprint("p", n)
+			f.submit(id, 0)
+			if f.sent[id][0] == slow.id {
+				toSlow++
+			}
+			outs = append(outs, out{id, f.now, took(f.sent[id][0], slowTakes)})
+			f.advance(f.now + 5*ms)
+			kept := outs[:0]
+			for _, o := range outs {
+				if f.now < o.at+o.d {
+					kept = append(kept, o)
+					continue
+				}
+				f.ended[o.id] = true
+				f.b.Result(f.now, Result{ID: o.id, Outcome: OK, Latency: o.d, Finished: true})
+			}
+			outs = kept
+		}
+		return toSlow
+	}
+	play(time.Second, 20*ms)
+	if slow.ejections > 0 {
+		t.Fatal("ejected while it is as quick as the others")
+	}
+	// Of 2,000 requests, 333 would be its even part.
+	if got := play(10*time.Second, 300*ms); got > 60 {
+		t.Fatalf("%d of 2000 requests went to the slow server", got)
+	}
+	play(ejectMost+time.Second, 20*ms) // the longest that it can be out
+	if got := play(10*time.Second, 20*ms); got < 250 {
+		t.Fatalf("%d of 2000 requests went to the server after it was slow", got)
 	}
 }
 
