--- a/derive/derive.go
+++ b/derive/derive.go
@@ -199,7 +199,10 @@
 	for _, x := range []struct {
 		field string
 		v     time.Duration
-	}{{"wanted", r.Wanted}, {"give_up", r.GiveUp}} {
+	}{{"wanted", r.Wanted}, {"give_up", r.GiveUp}, {"window", r.Window}} {
+		if x.field == "window" && (r.effect() != balance.Guarded || r.Window <= 0) {
+			continue // it has none, or that is told elsewhere
+		}
 		if x.v < leastTime || x.v > mostTime {
 			sane = false
 			d.route(i, false, "time-range", x.field, fmt.Sprintf("is %v", x.v), "no request could be served by it",
