Serve on in a restart while answers are in time; check applications' descriptions

Cause: in a rolling restart of two proxies the second told its callers to connect anew after half of the longest deadline, 0.4 s before the first was taken in again; one line for each request's end showed that nothing else was lost at the proxies. And: teams' mistakes in route, effect and window showed in service only.

Change: a leaving proxy serves on until the longest deadline less what 95% of its answers take. brasswell check takes a TOML file with an [app] table for a description and places what route and derive find, warnings apart from errors; the parser tells where every setting stands.

--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -342,3 +342,22 @@
 		}
 	}
 }
+
+// TestLimitFollowsARiseWithinCapacity: traffic that was little becomes six times as much, which the servers can do.
+// The limit, taken back while it was not used, must not refuse it for long.
+func TestLimitFollowsARiseWithinCapacity(t *testing.T) {
+	for seed := range uint64(4) {
+		c := newCrowd(t, crowdSettings(), 60, seed)
+		c.visitors(12*time.Second, func(day time.Duration) float64 {
+			if day < 6*time.Second {
+				return 0.1 * 60 * crowdCapacity
+			}
+			return 0.6 * 60 * crowdCapacity
+		})
+		c.run(14 * time.Second)
+		t.Logf("seed %d: in time %.3f before, %.3f in its first second, %.3f then", seed, c.share(2, 6), c.share(6, 7), c.share(7, 12))
+		if got := c.share(7, 12); got < 0.95 {
+			t.Errorf("seed %d: served in time %.3f from 1 s after the rise, limit %.0f", seed, got, c.b.limit)
+		}
+	}
+}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
 
 	"brasswell/internal/config"
+	"brasswell/internal/description"
 	"brasswell/internal/operator"
 )
 
@@ -24,9 +26,10 @@
 func (e *env) checkVerb() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE...",
-		Short: "Check operator files (.toml) and platform files (.json) before they are used",
+		Short: "Check operator files, descriptions (.toml) and platform files (.json) before they are used",
 		Long: "Reads each file as a proxy would, and says everything that is wrong with it, at its place and with the mend.\n" +
-			"Exits with 1 if a file has findings, and 2 if one cannot be read.",
+			"A TOML file with an [app] table is an application's description. Exits with 1 if a file has findings that are no\n" +
+			"warnings, and 2 if one cannot be read.",
 		Example: "  brasswell check deploy/operator.toml\n  brasswell check --format json deploy/operator.toml config.json",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, files []string) error {
@@ -56,11 +59,14 @@
 	if err != nil {
 		return c, err
 	}
-	if strings.EqualFold(filepath.Ext(file), ".json") {
+	switch {
+	case strings.EqualFold(filepath.Ext(file), ".json"):
 		if err := config.CheckPlatform(text); err != nil {
 			c.Findings = []operator.Finding{jsonFinding(file, text, err)}
 		}
-	} else {
+	case description.Is(text):
+		_, _, c.Findings = description.Parse(file, text)
+	default:
 		o, err := config.ParseOperator(file, text)
 		var findings operator.Error
 		switch {
@@ -72,7 +78,7 @@
 			c.Settings = len(o.Values)
 		}
 	}
-	c.Sound = len(c.Findings) == 0
+	c.Sound = !slices.ContainsFunc(c.Findings, func(f operator.Finding) bool { return !f.Warning })
 	return c, nil
 }
 
@@ -99,11 +105,10 @@
 		json.NewEncoder(e.out).Encode(c)
 		return
 	}
-	if c.Sound {
-		fmt.Fprintf(e.out, "%s: sound\n", c.File)
-		return
-	}
 	for _, f := range c.Findings {
 		fmt.Fprintln(e.out, f)
 	}
+	if c.Sound {
+		fmt.Fprintf(e.out, "%s: sound\n", c.File)
+	}
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -25,6 +25,9 @@
 		return path
 	}
 	sound, broken := write("sound.toml", "[log]\nlevel = \"warn\"\n"), write("broken.toml", "[log]\nlevel = 3\nburst = \"no\"\n")
+	const app = "[app]\nname = \"a\"\nlisten = \"127.0.0.1:1\"\nserves = \"127.0.0.1:2\"\n" +
+		"[[route]]\nname = \"r\"\npath = \"/\"\nmethods = [\"GET\"]\nwanted = \"1s\"\ngive_up = \"2s\"\n"
+	warned, unsafe := write("warned.toml", app+"writes = [\"w\"]\n"), write("unsafe.toml", app+"writes = [\"w\"]\nrepeat = \"safe\"\n")
 	platform := write("broken.json", "{\n \"listen\": 4}")
 	for _, c := range []struct {
 		args     string
@@ -38,6 +41,10 @@
 		{"check " + broken, 1, "broken.toml:3:9: log.burst", ""},
 		{"check " + sound + " " + broken, 1, "broken.toml:2:9: log.level", ""},
 		{"check --format json " + broken, 1, `"sound":false`, ""},
+		{"check " + warned, 0, "warning: route[0].methods: writes w on GET", ""},
+		{"check " + warned, 0, "sound", ""},
+		{"check " + unsafe, 1, "unsafe.toml:12:1: route[0].repeat: writes w and is marked as safe to repeat", ""},
+		{"check --format json " + warned, 0, `"warning":true`, ""},
 		{"check " + platform, 1, "broken.json:2:12", ""},
 		{"check " + folder + "/absent.toml", 2, "", "no such file"},
 		{"check " + folder, 2, "", "directory"},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -116,6 +116,7 @@
 	if r.TransferEncoding != nil {
 		w.Header().Set("Connection", "close") // framing does not follow it past the chunks
 	}
+	taken := time.Now()
 	q := s.instance.Submit(newMessage(r, kept), ask.class, ask.tenant, s.restart.Cap(ask.left))
 	var f host.Final
 	select {
@@ -127,6 +128,9 @@
 		s.instance.Drop(q)
 		f = <-q.Final()
 	}
+	if f.Verdict == host.Served {
+		s.restart.Answered(time.Since(taken))
+	}
 	s.answer(w, f)
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -99,11 +99,15 @@
 	File         string `json:"file"`
 	Line, Column int    // from 1; columns count characters
 	Key          string `json:"key,omitempty"`
+	Warning      bool   `json:"warning,omitempty"` // it will hurt, but breaks nothing
 	Text         string `json:"text"`
 }
 
 func (f Finding) String() string {
 	place := fmt.Sprintf("%s:%d:%d: ", f.File, f.Line, f.Column)
+	if f.Warning {
+		place += "warning: "
+	}
 	if f.Key != "" {
 		place += f.Key + ": "
 	}
@@ -125,6 +129,12 @@
 // canonical form.
 type Values map[string]Setting
 
+// Place is where something stands in a file, from 1; columns count characters.
+type Place struct{ Line, Column int }
+
+// Places says where a file's tables and settings stand, by their paths ("route[0]", "route[0].name").
+type Places map[string]Place
+
 // Setting is one value that a file sets.
 type Setting struct {
 	Text string
--- a/internal/operator/parse.go
+++ b/internal/operator/parse.go
@@ -26,7 +26,15 @@
 // it is an Error with every finding, and the variables may be partly set: bind them to a copy and throw that
 // away, so that a bad file changes nothing.
 func (s *Schema) Parse(file string, text []byte) (Values, error) {
-	p := &parsing{schema: s, file: file, text: text, values: Values{}, tables: map[string]int{}, defined: map[string]bool{}}
+	values, _, err := s.ParsePlaced(file, text)
+	return values, err
+}
+
+// ParsePlaced is Parse for who finds more to say of the file: it tells where everything stands.
+func (s *Schema) ParsePlaced(file string, text []byte) (Values, Places, error) {
+	p := &parsing{
+		schema: s, file: file, text: text, values: Values{}, set: Places{}, tables: map[string]int{},
+	}
 	p.run()
 	if len(p.findings) > 0 {
 		slices.SortStableFunc(p.findings, func(a, b Finding) int {
@@ -35,9 +43,9 @@
 			}
 			return a.Column - b.Column
 		})
-		return nil, Error(p.findings)
+		return nil, p.set, Error(p.findings)
 	}
-	return p.values, nil
+	return p.values, p.set, nil
 }
 
 // parsing is one reading of one file.
@@ -47,8 +55,9 @@
 	text     []byte
 	findings []Finding
 	values   Values
-	tables   map[string]int  // how often each table has been seen
-	defined  map[string]bool // paths already set, sound or not
+	set      Places
+	tables   map[string]int // how often each table has been seen
+	lines    lineCount
 
 	section *Section // of the table at hand; nil before the first and within an unknown one
 	path    string   // of the table at hand
@@ -64,18 +73,31 @@
 	if len(p.findings) >= maxFindings {
 		return
 	}
-	offset = min(max(offset, 0), len(p.text))
-	before := p.text[:offset]
-	line := bytes.LastIndexByte(before, '\n') + 1
-	f := Finding{
-		File: p.file, Line: bytes.Count(before, []byte("\n")) + 1,
-		Column: utf8.RuneCount(before[line:]) + 1, Key: key, Text: fmt.Sprintf(format, v...),
-	}
+	at := p.place(offset)
+	f := Finding{File: p.file, Line: at.Line, Column: at.Column, Key: key, Text: fmt.Sprintf(format, v...)}
 	if !slices.Contains(p.findings, f) {
 		p.findings = append(p.findings, f)
 	}
 }
 
+// lineCount is how far the lines have been counted.
+type lineCount struct{ offset, line, start int }
+
+// place is an offset's line and column. Offsets mostly grow, so it counts on from the last.
+func (p *parsing) place(offset int) Place {
+	offset = min(max(offset, 0), len(p.text))
+	if offset < p.lines.offset {
+		p.lines = lineCount{}
+	}
+	passed := p.text[p.lines.offset:offset]
+	p.lines.line += bytes.Count(passed, []byte("\n"))
+	if at := bytes.LastIndexByte(passed, '\n'); at >= 0 {
+		p.lines.start = p.lines.offset + at + 1
+	}
+	p.lines.offset = offset
+	return Place{p.lines.line + 1, utf8.RuneCount(p.text[p.lines.start:offset]) + 1}
+}
+
 func (p *parsing) run() {
 	if len(p.text) > MaxFile {
 		p.find(0, "", "the file has %d bytes; at most %d are read", len(p.text), MaxFile)
@@ -252,6 +274,7 @@
 		p.keys, p.check = sec.Each()
 	}
 	p.tables[sec.Name]++
+	p.set[p.path] = p.place(at)
 }
 
 func (p *parsing) endTable() {
@@ -308,6 +331,7 @@
 		return
 	}
 	p.places[name] = at
+	p.set[full] = p.place(at)
 	v := n.Value()
 	k := p.keys[i]
 	if problem := k.value.set(tokenOf(v)); problem != "" {
--- a/internal/operator/value.go
+++ b/internal/operator/value.go
@@ -377,6 +377,33 @@
 	return map[string]any{"type": "array", "maxItems": maxItems, "items": map[string]any{"type": "string"}}
 }
 
+// Text is a short text; what it means is for its section's check to judge.
+func Text(name string, v *string, doc string) Key {
+	return Key{Name: name, Doc: doc, value: (*phrase)(v)}
+}
+
+type phrase string
+
+const maxPhrase = 1024
+
+func (p *phrase) set(t token) string {
+	switch {
+	case t.kind != aString:
+		return wrongType(t, aString, `"text"`)
+	case len(t.text) > maxPhrase:
+		return fmt.Sprintf("%d bytes; allowed are %d at most", len(t.text), maxPhrase)
+	}
+	*p = phrase(t.text)
+	return ""
+}
+
+func (p *phrase) typeName() string { return "text" }
+func (p *phrase) allowed() string  { return fmt.Sprintf("%d bytes at most", maxPhrase) }
+func (p *phrase) text() string     { return strconv.Quote(string(*p)) }
+func (p *phrase) schema() map[string]any {
+	return map[string]any{"type": "string", "maxLength": maxPhrase}
+}
+
 // Path is a file's name, or empty.
 func Path(name string, v *string, doc string) Key {
 	return Key{Name: name, Doc: doc, value: (*path)(v)}
--- a/internal/restart/restart.go
+++ b/internal/restart/restart.go
@@ -11,6 +11,7 @@
 type Restart struct {
 	begun   atomic.Pointer[time.Time]
 	longest atomic.Int64  // the longest that a caller was ready to wait
+	usual   usual         // what nearly all answers take
 	over    chan struct{} // closed when what is still open has to be answered
 }
 
@@ -19,10 +20,10 @@
 	// killSlack is 0.7 s by the protocol, less what it takes to write the last answers, on a machine that
 	// runs late too.
 	killSlack = 400 * time.Millisecond
-	// serveShare of the longest deadline is how long callers may go on using their connections. The proxy
-	// that was restarted before this one may not be back yet, and callers have no other then; who asks
-	// late still has the rest of the time for its answer.
-	serveShare = 0.5
+	// serveLeast and serveMost of the longest deadline are how long callers may go on using their connections:
+	// the proxy that was restarted before this one may not be back yet, and callers have no other then. In
+	// between it ends so early that nearly all who ask last still have the time that answers take.
+	serveLeast, serveMost = 0.5, 0.8
 	// acceptMore is how long a planned restart goes on accepting at least: new connections come for up to
 	// 0.4 s.
 	acceptMore = 500 * time.Millisecond
@@ -58,7 +59,9 @@
 
 // serveOn is how long after SIGTERM connections are served as ever, and end is when all must be answered.
 func (l *Restart) serveOn() time.Duration {
-	return max(acceptMore, time.Duration(serveShare*float64(l.longestWait())))
+	longest := float64(l.longestWait())
+	on := l.end() - killSlack - l.usual.time()
+	return max(acceptMore, min(max(on, time.Duration(serveLeast*longest)), time.Duration(serveMost*longest)))
 }
 
 func (l *Restart) end() time.Duration { return max(l.longestWait(), acceptMore) + killSlack }
@@ -75,6 +78,9 @@
 	return left
 }
 
+// Answered takes in how long a request that was served took.
+func (l *Restart) Answered(took time.Duration) { l.usual.observe(took) }
+
 // Run is a planned restart from its beginning to its end; left closes what is idle and says whether no caller is
 // there or coming. It reports whether all had left. http.Server.Shutdown would not do: it closes the listener at
 // once, and with it the connections that are still coming and those in the accept queue, whose requests count as
@@ -97,3 +103,27 @@
 	}
 	return false
 }
+
+// usual follows the time that usualShare of all answers take, in steps of a twentieth.
+type usual struct{ ns atomic.Int64 }
+
+const (
+	usualShare = 0.95
+	usualStep  = 0.05
+	usualLeast = time.Millisecond
+)
+
+// observe may lose a step to another that is taken at the same time; the next ones make up for it.
+func (u *usual) observe(took time.Duration) {
+	took = max(took, usualLeast)
+	switch at := time.Duration(u.ns.Load()); {
+	case at == 0:
+		u.ns.Store(int64(took))
+	case took > at:
+		u.ns.Store(int64(float64(at) * (1 + usualStep*usualShare)))
+	case took < at:
+		u.ns.Store(int64(max(float64(at)*(1-usualStep*(1-usualShare)), float64(usualLeast))))
+	}
+}
+
+func (u *usual) time() time.Duration { return time.Duration(u.ns.Load()) }
