--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -18,6 +18,29 @@
 	token uint64
 }
 
+// timers is what a test's host has been asked to ring.
+type timers []timer
+
+// ring rings every timer due up to the given time, in order; the clock goes along, and stands at that time then.
+func (ts *timers) ring(b *Balancer, now *time.Duration, to time.Duration) {
+	for {
+		next := -1
+		for i, t := range *ts {
+			if t.at <= to && (next < 0 || t.at < (*ts)[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			*now = max(*now, to)
+			return
+		}
+		t := (*ts)[next]
+		*ts = slices.Delete(*ts, next, next+1)
+		*now = max(*now, t.at)
+		b.Timer(*now, t.token)
+	}
+}
+
 // fake is a host that records actions on a hand-set clock.
 type fake struct {
 	t       testing.TB
@@ -26,7 +49,7 @@
 	sent    map[string][]string // server of each attempt, by request
 	final   map[string]string
 	ended   map[string]bool
-	timers  []timer
+	timers  timers
 	actions []string
 	watches int
 	logs    []string
@@ -65,24 +88,7 @@
 }
 
 // advance rings every timer due up to the given time, in order.
-func (f *fake) advance(to time.Duration) {
-	for {
-		next := -1
-		for i, t := range f.timers {
-			if t.at <= to && (next < 0 || t.at < f.timers[next].at) {
-				next = i
-			}
-		}
-		if next < 0 {
-			f.now = max(f.now, to)
-			return
-		}
-		t := f.timers[next]
-		f.timers = slices.Delete(f.timers, next, next+1)
-		f.now = max(f.now, t.at)
-		f.b.Timer(f.now, t.token)
-	}
-}
+func (f *fake) advance(to time.Duration) { f.timers.ring(f.b, &f.now, to) }
 
 func (f *fake) submit(id string, class int) {
 	f.b.Submit(f.now, Request{ID: id, Class: class, Left: f.b.set.Classes[class].GiveUp})
--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -314,39 +314,45 @@
 	}
 }
 
+// servedAgain plays a day with each of four seeds and wants nearly all clients of the seconds from..to served.
+func servedAgain(t *testing.T, from, to int, play func(seed uint64) *crowd) {
+	t.Helper()
+	for seed := range uint64(4) {
+		c := play(seed)
+		t.Logf("seed %d: in time %.3f before, %.3f from second %d on", seed, c.share(0, from), c.share(from, to), from)
+		if got := c.share(from, to); got < 0.95 {
+			t.Errorf("seed %d: served in time %.3f, limit %.0f", seed, got, c.b.limit)
+		}
+	}
+}
+
 // TestLimitFindsItsLevelAfterARestart: an instance that starts under a load that needs several times its first
 // limit in flight serves it within 2 s.
 func TestLimitFindsItsLevelAfterARestart(t *testing.T) {
-	for seed := range uint64(4) {
+	servedAgain(t, 2, 6, func(seed uint64) *crowd {
 		c := newCrowd(t, crowdSettings(), 100, seed)
 		c.visitors(6*time.Second, func(time.Duration) float64 { return 0.75 * 100 * crowdCapacity })
 		c.run(8 * time.Second)
-		t.Logf("seed %d: in time %.3f in the first 2 s, %.3f then", seed, c.share(0, 2), c.share(2, 6))
-		if got := c.share(2, 6); got < 0.95 {
-			t.Errorf("seed %d: served in time %.3f, limit %.0f", seed, got, c.b.limit)
-		}
-	}
+		return c
+	})
 }
 
 // TestOneSlowServerLocksNothing: a server that turns slow while many are in flight takes neither the limit nor
 // its peers' clients with it.
 func TestOneSlowServerLocksNothing(t *testing.T) {
-	for seed := range uint64(4) {
+	servedAgain(t, 4, 12, func(seed uint64) *crowd {
 		c := newCrowd(t, crowdSettings(), 8, seed)
 		c.in(2*time.Second, func() { c.nodes["s003"].speed = 0.1 })
 		c.visitors(12*time.Second, func(time.Duration) float64 { return 0.7 * 8 * crowdCapacity })
 		c.run(14 * time.Second)
-		t.Logf("seed %d: in time %.3f before, %.3f from 2 s after", seed, c.share(0, 2), c.share(4, 12))
-		if got := c.share(4, 12); got < 0.95 {
-			t.Errorf("seed %d: served in time %.3f, limit %.0f", seed, got, c.b.limit)
-		}
-	}
+		return c
+	})
 }
 
 // TestLimitFollowsARiseWithinCapacity: traffic that was little becomes six times as much, which the servers can do.
 // The limit, taken back while it was not used, must not refuse it for long.
 func TestLimitFollowsARiseWithinCapacity(t *testing.T) {
-	for seed := range uint64(4) {
+	servedAgain(t, 7, 12, func(seed uint64) *crowd {
 		c := newCrowd(t, crowdSettings(), 60, seed)
 		c.visitors(12*time.Second, func(day time.Duration) float64 {
 			if day < 6*time.Second {
@@ -355,9 +361,6 @@
 			return 0.6 * 60 * crowdCapacity
 		})
 		c.run(14 * time.Second)
-		t.Logf("seed %d: in time %.3f before, %.3f in its first second, %.3f then", seed, c.share(2, 6), c.share(6, 7), c.share(7, 12))
-		if got := c.share(7, 12); got < 0.95 {
-			t.Errorf("seed %d: served in time %.3f from 1 s after the rise, limit %.0f", seed, got, c.b.limit)
-		}
-	}
+		return c
+	})
 }
--- a/balance/property_test.go
+++ b/balance/property_test.go
@@ -18,7 +18,7 @@
 	entries map[string]Entry
 	reqs    map[string]*tracked
 	open    []string // ids with no final answer, or with an attempt out
-	timers  []timer
+	timers  timers
 	actions []string
 }
 
@@ -110,24 +110,7 @@
 func (w *world) Log(line string) { w.note("log %s", line) }
 
 // advance goes to a time and rings what is due on the way.
-func (w *world) advance(to time.Duration) {
-	for {
-		next := -1
-		for i, t := range w.timers {
-			if t.at <= to && (next < 0 || t.at < w.timers[next].at) {
-				next = i
-			}
-		}
-		if next < 0 {
-			w.now = max(w.now, to)
-			return
-		}
-		t := w.timers[next]
-		w.timers = slices.Delete(w.timers, next, next+1)
-		w.now = max(w.now, t.at)
-		w.b.Timer(w.now, t.token)
-	}
-}
+func (w *world) advance(to time.Duration) { w.timers.ring(w.b, &w.now, to) }
 
 // result ends an attempt.
 func (w *world) result(id string, n int, o Outcome) {
--- a/derive/derive.go
+++ b/derive/derive.go
@@ -95,14 +95,16 @@
 	mostAttempts = 3
 	// ownShare of a route's time is kept for the application's own work; the calls share the rest.
 	ownShare = 0.2
-	// slack of a window is not used: clocks and queues take their part.
+	// windowSlack of a window is not used: clocks and queues take their part.
 	windowSlack = 0.1
 	// ingressShare of sockets and memory is for those who call the application.
 	ingressShare = 0.5
+	// bodyShare of the callers' memory is for their bodies.
+	bodyShare = 0.25
 	// leastSockets of a service: fewer can't carry a request with a repeat.
 	leastSockets = 4
-	// sane bounds a time.
-	leastTime, mostTime = time.Millisecond, time.Hour
+	// LeastTime and MostTime bound every time that a description says.
+	LeastTime, MostTime = time.Millisecond, time.Hour
 )
 
 // Derive makes the plan. Where a finding is an error there is no plan.
@@ -203,10 +205,10 @@
 		if x.field == "window" && (r.effect() != balance.Guarded || r.Window <= 0) {
 			continue // it has none, or that is told elsewhere
 		}
-		if x.v < leastTime || x.v > mostTime {
+		if x.v < LeastTime || x.v > MostTime {
 			sane = false
 			d.route(i, false, "time-range", x.field, fmt.Sprintf("is %v", x.v), "no request could be served by it",
-				fmt.Sprintf("write a time from %v to %v", leastTime, mostTime))
+				fmt.Sprintf("write a time from %v to %v", LeastTime, MostTime))
 		}
 	}
 	if sane && r.Wanted > r.GiveUp {
@@ -220,8 +222,8 @@
 	if math.IsNaN(r.Worth) || math.IsInf(r.Worth, 0) || r.Worth < 0 {
 		d.route(i, false, "worth-range", "worth", fmt.Sprintf("is %g", r.Worth), "requests could not be ordered", "write a figure above 0, or none")
 	}
-	if r.Body < 0 || d.app.Memory > 0 && float64(r.Body) > ingressShare*float64(d.app.Memory)/4 {
-		d.route(i, false, "body-memory", "body", fmt.Sprintf("%d bytes, and %d are for all callers' bodies", r.Body, int64(ingressShare*float64(d.app.Memory)/4)),
+	if bodies := ingressShare * bodyShare * float64(d.app.Memory); r.Body < 0 || bodies > 0 && float64(r.Body) > bodies {
+		d.route(i, false, "body-memory", "body", fmt.Sprintf("%d bytes, and %d are for all callers' bodies", r.Body, int64(bodies)),
 			"not one such request could be taken", "lower body or give the sidecar more memory")
 	}
 }
@@ -261,12 +263,15 @@
 	if sum > 1+rounding {
 		d.service(0, false, "shares-over", "share", fmt.Sprintf("the shares add up to %.2f", sum), "one service's failing would starve another", "lower them to 1 in all")
 	}
-	if n := len(d.app.Calls); n > 0 && d.app.Sockets > 0 && int((1-ingressShare)*float64(d.app.Sockets)) < n*leastSockets {
+	if n := len(d.app.Calls); n > 0 && d.app.Sockets > 0 && d.sockets() < n*leastSockets {
 		d.service(0, false, "sockets-short", "sockets", fmt.Sprintf("%d sockets, half of them for %d services", d.app.Sockets, n),
 			"a service could not carry one request with its repeat", fmt.Sprintf("give the sidecar %d sockets", int(math.Ceil(float64(n*leastSockets)/(1-ingressShare)))))
 	}
 }
 
+// sockets is how many are for the services together.
+func (d *deriving) sockets() int { return int((1 - ingressShare) * float64(d.app.Sockets)) }
+
 // usable is the part of a window in which a repeat may still be sent.
 func usable(window time.Duration) time.Duration {
 	return window - time.Duration(windowSlack*float64(window))
@@ -330,7 +335,7 @@
 	}
 	b := Bulkhead{
 		Service: i,
-		Sockets: leastSockets + int(share*float64(max(int((1-ingressShare)*float64(d.app.Sockets))-len(d.app.Calls)*leastSockets, 0))),
+		Sockets: leastSockets + int(share*float64(max(d.sockets()-len(d.app.Calls)*leastSockets, 0))),
 		Memory:  int64(share * (1 - ingressShare) * float64(d.app.Memory)),
 	}
 	b.Why = []Figure{{"sockets", fmt.Sprint(b.Sockets), why}, {"memory", fmt.Sprint(b.Memory), why}}
--- a/internal/description/description.go
+++ b/internal/description/description.go
@@ -114,9 +114,9 @@
 					operator.Choice("repeat", &x.Repeat, []string{"", "safe", "keyed", "never"}, "What its people believe of repeating it; it is checked against what it writes."),
 					operator.Text("key", &x.Key, "The header with the key under which repeats are dropped."),
 					operator.Choice("group", &x.Group, []string{"", "all", "zone", "cell"}, "Which servers share what they know of keys."),
-					operator.Duration("window", &x.Window, 0, time.Hour, "How long they remember a key."),
-					operator.Duration("wanted", &x.Wanted, time.Millisecond, time.Hour, "An answer later than this is of no use.").MustBeSet(),
-					operator.Duration("give_up", &x.GiveUp, time.Millisecond, time.Hour, "How long a caller waits.").MustBeSet(),
+					operator.Duration("window", &x.Window, 0, derive.MostTime, "How long they remember a key."),
+					operator.Duration("wanted", &x.Wanted, derive.LeastTime, derive.MostTime, "An answer later than this is of no use.").MustBeSet(),
+					operator.Duration("give_up", &x.GiveUp, derive.LeastTime, derive.MostTime, "How long a caller waits.").MustBeSet(),
 					operator.Float("worth", &x.Worth, 0, 1e6, "Against the other routes; 0 for derived."),
 					operator.Size("body", &x.Body, 0, 1<<30, "Its longest body."),
 					operator.List("uses", &x.Uses, nil, "Services that it calls, one after the other."),
@@ -255,7 +255,7 @@
 		find(table, f.Field, f.Warning, "%s; %s; %s", f.Cause, f.Effect, f.Mend)
 	}
 	slices.SortStableFunc(found, func(a, b operator.Finding) int {
-		return cmp.Or(a.Line-b.Line, a.Column-b.Column, strings.Compare(a.Text, b.Text))
+		return cmp.Or(operator.ByPlace(a, b), strings.Compare(a.Text, b.Text))
 	})
 	if slices.ContainsFunc(found, func(f operator.Finding) bool { return !f.Warning }) {
 		return nil, nil, found
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,6 +6,7 @@
 package operator
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -85,6 +86,14 @@
 	return s.Keys
 }
 
+// header is how the section's table is written in a file.
+func (s *Section) header() string {
+	if s.Each != nil {
+		return "[[" + s.Name + "]]"
+	}
+	return "[" + s.Name + "]"
+}
+
 func (s *Schema) section(name string) *Section {
 	for i := range s.sections {
 		if s.sections[i].Name == name {
@@ -114,6 +123,9 @@
 	return place + f.Text
 }
 
+// ByPlace compares two findings of a file by where they stand.
+func ByPlace(a, b Finding) int { return cmp.Or(a.Line-b.Line, a.Column-b.Column) }
+
 // Error is all findings of one file, in the order of their places.
 type Error []Finding
 
--- a/internal/operator/parse.go
+++ b/internal/operator/parse.go
@@ -37,12 +37,7 @@
 	}
 	p.run()
 	if len(p.findings) > 0 {
-		slices.SortStableFunc(p.findings, func(a, b Finding) int {
-			if a.Line != b.Line {
-				return a.Line - b.Line
-			}
-			return a.Column - b.Column
-		})
+		slices.SortStableFunc(p.findings, ByPlace)
 		return nil, p.set, Error(p.findings)
 	}
 	return p.values, p.set, nil
@@ -325,9 +320,9 @@
 		p.find(at, full, "unknown key%s", p.didYouMeanKey(name))
 		return
 	}
-	if first, twice := p.places[name]; twice {
+	if _, twice := p.places[name]; twice {
 		p.unsound = true
-		p.find(at, full, "set twice; the first is on line %d", bytes.Count(p.text[:first], []byte("\n"))+1)
+		p.find(at, full, "set twice; the first is on line %d", p.set[full].Line)
 		return
 	}
 	p.places[name] = at
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -49,11 +49,7 @@
 		"Durations and sizes carry their unit (`\"750ms\"`, `\"64KiB\"`). An unknown key is an error.\n")
 	for i := range s.sections {
 		sec := &s.sections[i]
-		header := "[" + sec.Name + "]"
-		if sec.Each != nil {
-			header = "[[" + sec.Name + "]]"
-		}
-		fmt.Fprintf(&b, "\n## `%s`\n\n%s\n\nWithout it: %s\n", header, sec.Doc, sec.Absent)
+		fmt.Fprintf(&b, "\n## `%s`\n\n%s\n\nWithout it: %s\n", sec.header(), sec.Doc, sec.Absent)
 		if sec.Each != nil {
 			fmt.Fprintf(&b, "\nAt most %d of them.\n", sec.MostTables)
 		}
@@ -79,11 +75,7 @@
 		"# Check a change with `brasswell check FILE` before it is used.\n")
 	for i := range s.sections {
 		sec := &s.sections[i]
-		header := "[" + sec.Name + "]"
-		if sec.Each != nil {
-			header = "[[" + sec.Name + "]]"
-		}
-		fmt.Fprintf(&b, "\n# %s\n# Without it: %s\n# %s\n", sec.Doc, sec.Absent, header)
+		fmt.Fprintf(&b, "\n# %s\n# Without it: %s\n# %s\n", sec.Doc, sec.Absent, sec.header())
 		for _, k := range sec.describe() {
 			def := k.value.text()
 			if k.Required {
--- a/internal/restart/restart.go
+++ b/internal/restart/restart.go
@@ -59,9 +59,9 @@
 
 // serveOn is how long after SIGTERM connections are served as ever, and end is when all must be answered.
 func (l *Restart) serveOn() time.Duration {
-	longest := float64(l.longestWait())
-	on := l.end() - killSlack - l.usual.time()
-	return max(acceptMore, min(max(on, time.Duration(serveLeast*longest)), time.Duration(serveMost*longest)))
+	longest := l.longestWait()
+	share := func(of float64) time.Duration { return time.Duration(of * float64(longest)) }
+	return max(acceptMore, min(max(longest-l.usual.time(), share(serveLeast)), share(serveMost)))
 }
 
 func (l *Restart) end() time.Duration { return max(l.longestWait(), acceptMore) + killSlack }
--- a/route/overlap.go
+++ b/route/overlap.go
@@ -45,12 +45,7 @@
 		if err != nil {
 			continue
 		}
-		v := variant{index: i, methods: r.Methods}
-		for _, c := range r.Headers {
-			c.Header = canonical(c.Header)
-			v.headers = append(v.headers, c)
-		}
-		entries[i] = entry{p, v}
+		entries[i] = entry{p, r.variant(i)}
 		shape := shape(p)
 		same[shape] = append(same[shape], i)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"net/textproto"
 	"net/url"
 	"slices"
 	"strings"
@@ -42,10 +43,7 @@
 
 // Pattern is a path pattern taken apart: literals, {name} for one segment, and {name...} for the rest, which may be
 // empty and stands last.
-type Pattern struct {
-	Segments []Segment
-	text     string
-}
+type Pattern struct{ Segments []Segment }
 
 // Segment is one part of a pattern.
 type Segment struct {
@@ -54,8 +52,6 @@
 	Rest    bool   // takes all that follows
 }
 
-func (p Pattern) String() string { return p.text }
-
 // PatternError says what is wrong with a pattern, and the mend.
 type PatternError struct {
 	Path string
@@ -67,7 +63,7 @@
 
 // ParsePattern takes a path pattern apart. The error is a *PatternError.
 func ParsePattern(path string) (Pattern, error) {
-	p := Pattern{text: path}
+	var p Pattern
 	wrong := func(at int, format string, v ...any) (Pattern, error) {
 		return Pattern{}, &PatternError{path, at, fmt.Sprintf(format, v...)}
 	}
@@ -134,10 +130,7 @@
 }
 
 // Table is a compiled list of routes. It is not changed after Compile and may be used by any number of goroutines.
-type Table struct {
-	root   node
-	routes int
-}
+type Table struct{ root node }
 
 // node is what stands after the segments that lead to it.
 type node struct {
@@ -154,6 +147,16 @@
 	headers []Condition
 }
 
+// variant is the route without its path, with its headers' names as net/http writes them.
+func (r *Route) variant(index int) variant {
+	v := variant{index: index, methods: slices.Clone(r.Methods)}
+	for _, c := range r.Headers {
+		c.Header = textproto.CanonicalMIMEHeaderKey(c.Header)
+		v.headers = append(v.headers, c)
+	}
+	return v
+}
+
 // Error is what is wrong with one route of a table.
 type Error struct {
 	Index int    // of the route
@@ -166,7 +169,7 @@
 // Compile builds a table. It returns every fault, in the order of the routes, and no table if there is one. What is
 // sound in itself but never taken is for Overlaps to tell.
 func Compile(routes []Route) (*Table, []*Error) {
-	t := &Table{routes: len(routes)}
+	t := &Table{}
 	var faults []*Error
 	fault := func(i int, field, format string, v ...any) {
 		faults = append(faults, &Error{i, field, fmt.Sprintf(format, v...)})
@@ -184,16 +187,14 @@
 		if len(r.Headers) > MostConditions {
 			fault(i, "headers", "%d conditions; %d at most", len(r.Headers), MostConditions)
 		}
-		v := variant{index: i, methods: slices.Clone(r.Methods)}
-		for _, c := range r.Headers {
+		v := r.variant(i)
+		for n, c := range v.headers {
 			if !token(c.Header) {
-				fault(i, "headers", "%q is no header's name", c.Header)
+				fault(i, "headers", "%q is no header's name", r.Headers[n].Header)
 			}
-			c.Header = canonical(c.Header)
-			if slices.ContainsFunc(v.headers, func(o Condition) bool { return o.Header == c.Header }) {
+			if slices.ContainsFunc(v.headers[:n], func(o Condition) bool { return o.Header == c.Header }) {
 				fault(i, "headers", "%s is asked for twice; one value at a time can fit", c.Header)
 			}
-			v.headers = append(v.headers, c)
 		}
 		if err == nil && !t.add(p, v) {
 			fault(i, "path", "over %d routes share %s; give them paths of their own", MostVariants, r.Path)
@@ -406,19 +407,3 @@
 		return !('a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || strings.ContainsRune("!#$%&'*+-.^_`|~", r))
 	})
 }
-
-// canonical is a header's name as net/http writes it.
-func canonical(name string) string {
-	b := []byte(name)
-	upper := true
-	for i, c := range b {
-		switch {
-		case upper && 'a' <= c && c <= 'z':
-			b[i] = c - 32
-		case !upper && 'A' <= c && c <= 'Z':
-			b[i] = c + 32
-		}
-		upper = c == '-'
-	}
-	return string(b)
-}
