Add the operators' console: readiness, figures, backends taken out by hand

Design: one net/http server with one call to a connection and places of its own (the oldest silent caller goes first), so that nothing on the serving path can keep a call out. Counts are one atomic addition each where things happen; not taken: counts derived from the log or kept under the balancer's lock, which would have put a lock between serving and reading. Suspend and Resume are events of balance, beside the list's state and not in it, so no list can end a ban; not taken: a filter in the sockets, which would have left picks going to a server that then takes nothing. After Resume a server is cold with one send free: at low rates a random debt took over 5 s to earn (seen in the test).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -97,6 +97,8 @@
 	ejected   time.Duration // until when it is passed over; 0 if it is not
 	ejections int           // in a row, without a success between
 	trial     bool          // the request that tries an ejected server is out
+	banned    bool          // taken out by hand
+	resumed   time.Duration // when it was last put back by hand
 	answered  time.Duration // when it last answered anything
 	stalledAt time.Duration // when its silence last counted against it
 	slow      float64       // its answers' time over their classes' means, less 1, smoothed
@@ -138,6 +140,8 @@
 	rng  *rand.PCG
 
 	servers  map[string]*server
+	banned   map[string]bool // the ids taken out by hand, listed or not
+	seen     seen
 	slots    []*server // the list that is shuffled: sorted by id, places kept by keepSlots
 	order    []*server // the round's shuffle, turned so that the own slice stands first
 	slice    int       // how many of order are the own slice
@@ -172,7 +176,7 @@
 	}
 	return &Balancer{
 		set: settings, host: host, rng: rand.NewPCG(seed, 0),
-		servers: map[string]*server{}, requests: map[string]*request{},
+		servers: map[string]*server{}, banned: map[string]bool{}, requests: map[string]*request{},
 		timers: map[uint64]func(time.Duration){}, retries: retryBurst / 2, limit: limitFirst,
 		cost: make([]quantile, len(settings.Classes)), tail: make([]tail, len(settings.Classes)),
 		mean: make([]mean, len(settings.Classes)), base: make([]mean, len(settings.Classes)),
@@ -384,7 +388,7 @@
 	sum, n := 0.0, 0
 	for _, s := range b.active {
 		s.track(now)
-		if s.entry.State == InService && s.ejected == 0 {
+		if !s.out() {
 			sum += s.load
 			n++
 		}
@@ -406,7 +410,7 @@
 	b.active = append(b.active[:0], b.order[:b.slice]...)
 	lost := 0
 	for _, s := range b.active {
-		if s.entry.State != InService || s.ejected > 0 {
+		if s.out() {
 			lost++
 		}
 	}
@@ -414,7 +418,7 @@
 		if lost == 0 {
 			break
 		}
-		if s.entry.State == InService && s.ejected == 0 {
+		if !s.out() {
 			b.active = append(b.active, s)
 			lost--
 		}
@@ -424,7 +428,7 @@
 
 // canTake says whether a server can take the request now.
 func (b *Balancer) canTake(now time.Duration, q *request, s *server) bool {
-	return s.entry.State == InService && s.inFlight < inFlightCap && b.sound(now, s) && !q.tried(s) &&
+	return s.usable() && s.inFlight < inFlightCap && b.sound(now, s) && !q.tried(s) &&
 		q.allows(now, s) && b.coldAllows(now, s)
 }
 
@@ -635,7 +639,7 @@
 	}
 	out := 0
 	for _, m := range b.order[:b.slice] {
-		if m.ejected > 0 {
+		if m.ejected > 0 || m.banned {
 			out++
 		}
 	}
@@ -740,13 +744,14 @@
 	for _, e := range entries {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{id: e.ID, listed: now}
+			s = &server{id: e.ID, listed: now, banned: b.banned[e.ID]}
 			b.servers[e.ID] = s
+			b.seen.add(e.ID)
 		}
 		if s.entry.Boot != e.Boot {
 			// The first sends of all instances must not meet: each begins with a random debt.
 			s.coldAt, s.coldTokens = now, 1-2*b.random()
-			s.failRun, s.failRate, s.ejected, s.ejections = 0, 0, 0, 0
+			s.forgive()
 		}
 		s.entry = e
 	}
@@ -866,8 +871,9 @@
 
 // coldShare is the part of its full capacity that a server can be counted on to have.
 func (b *Balancer) coldShare(now time.Duration, s *server) float64 {
-	age := now - s.entry.Boot
-	if s.entry.Boot <= 0 || age >= b.set.WarmUp {
+	boot := max(s.entry.Boot, s.resumed)
+	age := now - boot
+	if boot <= 0 || age >= b.set.WarmUp {
 		return 1
 	}
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*float64(max(age, 0))/float64(b.set.WarmUp)
--- /dev/null
+++ b/balance/hand_test.go
@@ -0,0 +1,176 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// serve submits n free requests, one each gap, answers each at once, and returns which servers they went to.
+func (f *fake) serve(prefix string, n int, gap time.Duration) map[string]int {
+	f.t.Helper()
+	went := map[string]int{}
+	for i := range n {
+		f.advance(f.now + gap)
+		id := fmt.Sprint(prefix, i)
+		f.submit(id, 0)
+		if to := f.sent[id]; len(to) == 1 {
+			went[to[0]]++
+			f.result(id, 0, OK)
+		}
+	}
+	return went
+}
+
+func TestSuspendedServerGetsNothingWhateverTheListSays(t *testing.T) {
+	list := fleet(8)
+	f := newFake(t, testSettings(), list)
+	if went := f.serve("a", 40, 10*ms); went["s003"] == 0 {
+		t.Fatal("s003 was never used")
+	}
+	if !f.b.Suspend(f.now, "s003") || !f.b.Suspend(f.now, "s003") {
+		t.Fatal("no to a listed server")
+	}
+	for what, update := range map[string]func(){
+		"nothing":   func() {},
+		"re-listed": func() { f.b.Update(f.now, Full, list) },
+		"restarted": func() { f.b.Update(f.now, Delta, []Entry{{ID: "s003", Boot: f.now}}) },
+		"removed and listed anew": func() {
+			f.b.Update(f.now, Delta, []Entry{{ID: "s003", State: Gone}})
+			f.b.Update(f.now, Delta, []Entry{{ID: "s003"}})
+		},
+		"a list without it, then one with it": func() {
+			f.b.Update(f.now, Full, list[4:])
+			f.b.Update(f.now, Full, list)
+		},
+	} {
+		update()
+		if went := f.serve(what, 80, 10*ms); went["s003"] != 0 || len(went) != 7 {
+			t.Errorf("%s: went to %v", what, went)
+		}
+		if listed, avoided := f.b.Pool(); listed != 8 || avoided != 1 {
+			t.Errorf("%s: %d listed, %d avoided", what, listed, avoided)
+		}
+		if f.b.MaySend("s003") {
+			t.Errorf("%s: a send that was decided before may still begin", what)
+		}
+	}
+}
+
+// TestResumedServerIsColdAndSoonInUse puts servers back that were sound, ejected or failing before they were taken out,
+// with and without news of their restart.
+func TestResumedServerIsColdAndSoonInUse(t *testing.T) {
+	for _, before := range []string{"sound", "ejected", "failing"} {
+		for _, news := range []bool{false, true} {
+			f := newFake(t, testSettings(), fleet(8))
+			f.serve("a", 100, 10*ms)
+			s := f.b.servers["s003"]
+			switch before {
+			case "ejected":
+				f.b.considerEjection(f.now, s, true)
+			case "failing":
+				s.failRun, s.failRate = ejectRun-1, ejectShare
+			}
+			f.b.Suspend(f.now, "s003")
+			f.serve("b", 300, 10*ms)
+			if news {
+				f.b.Update(f.now, Delta, []Entry{{ID: "s003", Zone: 1, Boot: f.now}})
+			}
+			f.b.Resume(f.now, "s003")
+			if share := f.b.coldShare(f.now, s); share > 0.31 {
+				t.Errorf("%s, news %t: counted on for %.2f of its capacity", before, news, share)
+			}
+			went := f.serve("c", 500, 10*ms)
+			if went["s003"] == 0 {
+				t.Errorf("%s, news %t: not used within 5 s", before, news)
+			}
+			if even := 500 / 8; went["s003"] >= even {
+				t.Errorf("%s, news %t: %d sends while cold, an even share is %d", before, news, went["s003"], even)
+			}
+			if _, avoided := f.b.Pool(); avoided != 0 {
+				t.Errorf("%s, news %t: still avoided", before, news)
+			}
+		}
+	}
+}
+
+func TestOneResumeEndsTheBan(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(8))
+	for range 3 {
+		f.b.Suspend(f.now, "s001")
+	}
+	if !f.b.Resume(f.now, "s001") || !f.b.MaySend("s001") {
+		t.Fatal("still out after one call")
+	}
+	cold := f.b.servers["s001"].resumed
+	f.now += time.Minute
+	if !f.b.Resume(f.now, "s001") || f.b.servers["s001"].resumed != cold {
+		t.Fatal("a second call made a server cold that was in use")
+	}
+}
+
+func TestNeverListedIsANo(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(8))
+	for _, id := range []string{"", "s008", "S000"} {
+		if f.b.Suspend(f.now, id) || f.b.Resume(f.now, id) {
+			t.Errorf("yes to %q", id)
+		}
+	}
+	f.b.Update(f.now, Full, fleet(4)) // s007 was listed once
+	if !f.b.Suspend(f.now, "s007") {
+		t.Error("no to a server that was listed once")
+	}
+	f.b.Update(f.now, Delta, []Entry{{ID: "s007"}})
+	if f.b.MaySend("s007") {
+		t.Error("a ban on a server that was not listed ended as it came back")
+	}
+}
+
+// TestAllSuspended takes every server out: what comes is refused within its time, and nothing hangs.
+func TestAllSuspended(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(8))
+	f.serve("a", 20, 10*ms)
+	for _, e := range fleet(8) {
+		f.b.Suspend(f.now, e.ID)
+	}
+	for class := range f.b.set.Classes {
+		f.submit(fmt.Sprint("q", class), class)
+	}
+	f.advance(f.now + time.Second)
+	for class := range f.b.set.Classes {
+		if got := f.final[fmt.Sprint("q", class)]; got != "refused" {
+			t.Errorf("class %d: %q", class, got)
+		}
+	}
+	f.b.Resume(f.now, "s000")
+	if went := f.serve("b", 300, 10*ms); went["s000"] == 0 || len(went) != 1 {
+		t.Errorf("after one came back: %v", went)
+	}
+}
+
+// TestSuspendedMemberIsReplacedBySpare uses a list longer than the subset.
+func TestSuspendedMemberIsReplacedBySpare(t *testing.T) {
+	set := testSettings()
+	set.Instances = 4
+	f := newFake(t, set, fleet(40))
+	members := len(f.serve("a", 200, 10*ms))
+	f.b.Suspend(f.now, f.b.order[0].id)
+	if went := f.serve("b", 200, 10*ms); len(went) != members {
+		t.Errorf("%d servers in use, %d before", len(went), members)
+	}
+}
+
+func TestSeenIsBounded(t *testing.T) {
+	var l seen
+	for i := range 3 * seenMost {
+		l.add(fmt.Sprint(i))
+		l.add(fmt.Sprint(i))
+	}
+	if len(l.ids) != seenMost || len(l.order) != seenMost {
+		t.Fatalf("%d ids", len(l.ids))
+	}
+	if !slices.Contains(l.order, fmt.Sprint(3*seenMost-1)) {
+		t.Fatal("the latest is forgotten")
+	}
+}
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -27,6 +27,7 @@
 	last  atomic.Bool // the next write may hold the request's last byte
 	wrote atomic.Bool // a write of this attempt has begun
 	began atomic.Bool // the write with the request's last byte has begun
+	whole func()      // called once that write is over, then nil; used by the one that writes
 
 	// Guarded by pool.mu.
 	inRead   bool // a Read waits on the socket
@@ -46,6 +47,7 @@
 func (c *conn) roundTrip(ctx context.Context, m *Message, left time.Duration) (*http.Response, error) {
 	header := maps.Clone(m.Header)
 	header.Set("X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	c.whole = m.Written
 	req := &http.Request{Method: m.Method, URL: m.target(c.endpoint.Address), Host: m.Host, Header: header, Body: http.NoBody}
 	if m.Body.Size() > 0 {
 		req.Body = &bodyReader{conn: c, data: m.Body.Data()}
@@ -69,10 +71,16 @@
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.wrote.Store(true)
-	if c.last.Load() {
+	last := c.last.Load()
+	if last {
 		c.began.Store(true)
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if last && err == nil && c.whole != nil {
+		c.whole()
+		c.whole = nil
+	}
+	return n, err
 }
 
 // Read parks the connection once its answer is read and nothing more is buffered: until then bytes that
--- a/internal/backends/message.go
+++ b/internal/backends/message.go
@@ -13,4 +13,6 @@
 	URL               *url.URL
 	Header            http.Header
 	Body              *body.Body
+	// Written is called once for each attempt that has been written whole; it must not block.
+	Written func()
 }
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -98,6 +98,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.SocketFD > 0 {
+		first.Inherited = os.NewFile(uintptr(c.SocketFD), "RELAY_SOCKET_FD")
+	}
 	left := 1.0
 	for _, l := range r.operator.Listeners {
 		left -= l.Share
@@ -109,6 +112,7 @@
 		}
 		own := first
 		own.Listen, own.Discovery, own.Known, own.Log = l.Listen, l.Discovery, nil, r.log.With("listener", l.Name)
+		own.Inherited, own.Console = nil, ""
 		if l.Settings != "" {
 			own.Settings, err = readSettings(l.Settings)
 		}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -26,10 +26,12 @@
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
+	Console  string          `json:"console"` // where operators call; "" for nowhere
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
 	SeedNumber    uint64 `json:"-"` // Seed, read
+	SocketFD      int    `json:"-"` // the descriptor of the platform's listening socket; 0 if it holds none
 	fileDiscovery string // discovery as the file names it
 }
 
@@ -91,11 +93,17 @@
 	}
 	for name, field := range map[string]*string{
 		"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen, "RELAY_DISCOVERY": &c.Discovery,
+		"RELAY_CONSOLE": &c.Console,
 	} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
 	}
+	if v := getenv("RELAY_SOCKET_FD"); v != "" {
+		if c.SocketFD, err = strconv.Atoi(v); err != nil || c.SocketFD < 3 {
+			return nil, fmt.Errorf("RELAY_SOCKET_FD: %q is no descriptor that a program inherits", v)
+		}
+	}
 	if err := c.validate(); err != nil {
 		return nil, err
 	}
@@ -131,7 +139,7 @@
 		return proxy.Config{}, fmt.Errorf("settings: %w", err)
 	}
 	return proxy.Config{
-		Listen: c.Listen, Discovery: c.Discovery, Seed: c.SeedNumber, Settings: s, Known: c.Known,
+		Listen: c.Listen, Console: c.Console, Discovery: c.Discovery, Seed: c.SeedNumber, Settings: s, Known: c.Known,
 		Memory: int64(c.Limits.MemoryMB * (1 << 20)), Sockets: c.Limits.Sockets, Options: o, Log: log,
 	}, nil
 }
@@ -156,6 +164,9 @@
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return fmt.Errorf("RELAY_DISCOVERY: %q: %w", c.Discovery, err)
 	}
+	if _, _, err := net.SplitHostPort(c.Console); c.Console != "" && err != nil {
+		return fmt.Errorf("RELAY_CONSOLE: %q: %w", c.Console, err)
+	}
 	if c.SeedNumber, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return fmt.Errorf("seed: %w", err)
 	}
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,159 @@
+// Package console answers operators on an address of their own: readiness, figures, and servers taken out and put
+// back by hand. It decides nothing.
+package console
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Desk is what operators ask and say. Its methods may be called at any time and must return at once.
+type Desk interface {
+	// Ready says whether this process takes clients.
+	Ready() bool
+	// Figures appends the figures to text.
+	Figures(text []byte) []byte
+	// Suspend takes a server out until Resume; once it has returned, nothing new begins to go there. It is an
+	// error if no list has ever named the server.
+	Suspend(ctx context.Context, id string) error
+	// Resume puts a server back.
+	Resume(ctx context.Context, id string) error
+}
+
+const (
+	// callTime bounds a call from its connection to its last byte; what operators are owed is an answer within 1 s.
+	callTime = 900 * time.Millisecond
+	maxHead  = 4 << 10 // bytes
+	maxID    = 256     // bytes
+)
+
+// Server is a console.
+type Server struct {
+	desk     Desk
+	log      *slog.Logger
+	listener *listener
+	http     *http.Server
+}
+
+// New opens a console that answers nothing before Serve. It holds conns connections at most: see listener.
+func New(address string, conns int, desk Desk, log *slog.Logger) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	s := &Server{desk: desk, log: log, listener: newListener(l, conns)}
+	s.http = &http.Server{
+		Handler:           s,
+		ReadTimeout:       callTime,
+		ReadHeaderTimeout: callTime,
+		WriteTimeout:      2 * callTime, // counts from the head, and what is written fits the socket's buffer
+		MaxHeaderBytes:    maxHead,
+		ConnState:         s.listener.track,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	s.http.SetKeepAlivesEnabled(false) // one call to a connection
+	return s, nil
+}
+
+// Addr is where the console listens.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Serve answers until Close.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("console: %w", err)
+	}
+	return nil
+}
+
+// Close ends the console and every call on it.
+func (s *Server) Close() {
+	s.http.Close()
+	s.listener.Close() // where Serve has not been called
+}
+
+// ServeHTTP answers one call. The path is taken apart before it is unescaped, so that an id may hold any character.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	path := r.URL.EscapedPath()
+	switch path {
+	case "/v1/readyz":
+		if allow(w, r, http.MethodGet, http.MethodHead) {
+			s.ready(w)
+		}
+		return
+	case "/v1/metrics":
+		if allow(w, r, http.MethodGet, http.MethodHead) {
+			w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+			w.Write(s.desk.Figures(nil))
+		}
+		return
+	}
+	rest, server := strings.CutPrefix(path, "/v1/backends/")
+	escaped, verb, _ := strings.Cut(rest, "/")
+	act, known := map[string]func(context.Context, string) error{"suspend": s.desk.Suspend, "resume": s.desk.Resume}[verb]
+	if !server || !known {
+		http.Error(w, fmt.Sprintf("no such call: %.200q", path), http.StatusNotFound)
+		return
+	}
+	if !allow(w, r, http.MethodPost) {
+		return
+	}
+	id, err := readID(escaped)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = act(r.Context(), id)
+	s.log.Info("console: by hand", "action", verb, "backend", id, "caller", r.RemoteAddr, "refused", err)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	fmt.Fprintf(w, "%s: %s\n", verb, id)
+}
+
+func (s *Server) ready(w http.ResponseWriter) {
+	if !s.desk.Ready() {
+		http.Error(w, "not taking clients", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// allow says whether the call's method is one of these, and answers it if not.
+func allow(w http.ResponseWriter, r *http.Request, methods ...string) bool {
+	for _, m := range methods {
+		if r.Method == m {
+			return true
+		}
+	}
+	list := strings.Join(methods, ", ")
+	w.Header().Set("Allow", list)
+	http.Error(w, "this call wants "+list, http.StatusMethodNotAllowed)
+	return false
+}
+
+// readID reads a server's id from a path's segment.
+func readID(segment string) (string, error) {
+	id, err := url.PathUnescape(segment)
+	switch {
+	case err != nil:
+		return "", fmt.Errorf("backend's id: %w", err)
+	case id == "":
+		return "", errors.New("backend's id: empty")
+	case len(id) > maxID:
+		return "", fmt.Errorf("backend's id: over %d bytes", maxID)
+	case !utf8.ValidString(id) || strings.ContainsFunc(id, unicode.IsControl):
+		return "", errors.New("backend's id: not plain text")
+	}
+	return id, nil
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"brasswell/internal/backends"
 	"brasswell/internal/body"
 	"brasswell/internal/callers"
+	"brasswell/internal/figures"
 	"brasswell/internal/host"
 	"brasswell/internal/restart"
 	"brasswell/internal/settings"
@@ -42,15 +43,16 @@
 	class    []balance.Class
 	restart  *restart.Restart
 	options  atomic.Pointer[Options]
+	figures  *figures.Book
 
 	mu   sync.Mutex
 	open map[string]struct{} // the ids of the requests that are not answered yet
 }
 
 // New returns a front that hands requests to i. bodies and callers may be shared with other fronts.
-func New(s *settings.Settings, i *host.Instance, bodies *body.Budget, callers *callers.Set, r *restart.Restart, o Options) *Front {
+func New(s *settings.Settings, i *host.Instance, bodies *body.Budget, callers *callers.Set, r *restart.Restart, book *figures.Book, o Options) *Front {
 	srv := &Front{
-		instance: i, bodies: bodies, callers: callers, restart: r,
+		instance: i, bodies: bodies, callers: callers, restart: r, figures: book,
 		classes: map[string]int{}, tenants: map[string]int{}, class: s.Balancer.Classes,
 		open: map[string]struct{}{},
 	}
@@ -74,29 +76,29 @@
 	}
 	ask, err := s.read(r)
 	if err != nil {
-		s.turnAway(w, http.StatusBadRequest, err)
+		s.turnAway(w, ask, http.StatusBadRequest, err)
 		return
 	}
 	if !s.begin(ask.id) {
-		s.turnAway(w, http.StatusConflict, fmt.Errorf("%s: a request with this id is open", IDField))
+		s.turnAway(w, ask, http.StatusConflict, fmt.Errorf("%s: a request with this id is open", IDField))
 		return
 	}
 	defer s.finish(ask.id)
 	if s.callers.Crowded() {
 		// All sockets are busy. The request was never sent, so trying again is harmless.
-		s.turnAway(w, http.StatusServiceUnavailable, errors.New("too many connections"))
+		s.turnAway(w, ask, http.StatusServiceUnavailable, errors.New("too many connections"))
 		return
 	}
 	kept, err := s.readBody(w, r)
 	switch {
 	case errors.Is(err, body.ErrTooLarge):
-		s.turnAway(w, http.StatusRequestEntityTooLarge, err)
+		s.turnAway(w, ask, http.StatusRequestEntityTooLarge, err)
 	case errors.Is(err, body.ErrNoRoom):
-		s.turnAway(w, http.StatusServiceUnavailable, err)
+		s.turnAway(w, ask, http.StatusServiceUnavailable, err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		s.turnAway(w, http.StatusRequestTimeout, err)
+		s.turnAway(w, ask, http.StatusRequestTimeout, err)
 	case err != nil:
-		s.turnAway(w, http.StatusBadRequest, err)
+		s.turnAway(w, ask, http.StatusBadRequest, err)
 	default:
 		s.serve(w, r, ask, kept)
 	}
@@ -104,7 +106,14 @@
 
 // turnAway answers a request that is not taken on, and ends its connection: what else stands on it may be a body
 // that nobody has read. net/http still reads some of that, and would wait for a body that never comes.
-func (s *Front) turnAway(w http.ResponseWriter, status int, err error) {
+func (s *Front) turnAway(w http.ResponseWriter, a ask, status int, err error) {
+	switch {
+	case a.class < 0: // no class to count it under
+	case status == http.StatusServiceUnavailable:
+		s.figures.Count(a.class, figures.Refused)
+	default:
+		s.figures.Count(a.class, figures.Failed)
+	}
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(leftoverWait))
 	control.SetWriteDeadline(time.Now().Add(s.options.Load().WriteTimeout))
@@ -117,7 +126,11 @@
 		w.Header().Set("Connection", "close") // framing does not follow it past the chunks
 	}
 	taken := time.Now()
-	q := s.instance.Submit(newMessage(r, kept), ask.class, ask.tenant, s.restart.Cap(ask.left))
+	s.figures.Taken()
+	defer s.figures.Ended()
+	message := newMessage(r, kept)
+	message.Written = func() { s.figures.Try(ask.class) }
+	q := s.instance.Submit(message, ask.class, ask.tenant, s.restart.Cap(ask.left))
 	var f host.Final
 	select {
 	case f = <-q.Final():
@@ -131,9 +144,14 @@
 	if f.Verdict == host.Served {
 		s.restart.Answered(time.Since(taken))
 	}
+	s.figures.Count(ask.class, outcomes[f.Verdict])
 	s.answer(w, f)
 }
 
+var outcomes = map[host.Verdict]figures.Outcome{
+	host.Served: figures.Served, host.Refused: figures.Refused, host.Failed: figures.Failed,
+}
+
 // begin notes a request's id until finish, unless a request with that id is open.
 func (s *Front) begin(id string) bool {
 	s.mu.Lock()
@@ -170,7 +188,7 @@
 // read takes a request's head, or says what is wrong with it. Nothing in it is guessed: a deadline or class made
 // up for a caller that sends nonsense would reach the backends, and the balancer would learn from it.
 func (s *Front) read(r *http.Request) (ask, error) {
-	var a ask
+	a := ask{class: -1}
 	for _, field := range []string{IDField, ClassField, TenantField, RemainingField, KeyField} {
 		if len(r.Header[field]) > 1 {
 			return a, fmt.Errorf("%s: given more than once", field)
@@ -182,10 +200,11 @@
 	if a.id = r.Header.Get(IDField); a.id == "" {
 		return a, fmt.Errorf("%s: missing", IDField)
 	}
-	var known bool
-	if a.class, known = s.classes[r.Header.Get(ClassField)]; !known {
+	class, known := s.classes[r.Header.Get(ClassField)]
+	if !known {
 		return a, fmt.Errorf("%s: unknown class %q", ClassField, r.Header.Get(ClassField))
 	}
+	a.class = class
 	if a.tenant, known = s.tenants[r.Header.Get(TenantField)]; !known {
 		a.tenant = -1 // the balancer has no quota for it
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -155,9 +155,9 @@
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		left := a.end - i.now()
-		// While the connection came up, the list may have said that the server drains or is gone.
-		listed := i.address[a.to.Server] == a.to
-		return left, listed && left > 0 && !a.request.answered && a.ctx.Err() == nil
+		// While the connection came up, the list or a hand may have taken the server out.
+		usable := i.address[a.to.Server] == a.to && i.balancer.MaySend(a.to.Server)
+		return left, usable && left > 0 && !a.request.answered && a.ctx.Err() == nil
 	})
 	i.end(a, outcome, r)
 }
@@ -198,15 +198,52 @@
 		}
 	}
 	i.listed = i.listed || len(i.address) > 0
+	i.balancer.Update(i.now(), kind, entries)
+	if kind != balance.ListFailed {
+		i.keep()
+	}
+}
+
+// keep tells the pool whose connections may be used again. It is called with mu held, so that two calls cannot pass
+// each other.
+func (i *Instance) keep() {
 	wanted := make(map[backends.Endpoint]bool, len(i.address))
-	for _, to := range i.address {
-		wanted[to] = true
+	for id, to := range i.address {
+		if i.balancer.MaySend(id) {
+			wanted[to] = true
+		}
 	}
-	if kind != balance.ListFailed {
-		// Within the lock, so that two updates cannot pass each other.
-		i.backends.Keep(wanted)
+	i.backends.Keep(wanted)
+}
+
+// Suspend takes a server out by hand, and reports whether a list has ever named it. Once it has returned, nothing new
+// begins to go there: a send that is decided and not yet written asks again right before its first byte.
+func (i *Instance) Suspend(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	known := !i.closed && i.balancer.Suspend(i.now(), id)
+	if known {
+		i.keep() // what is held to it leads to a process that will be restarted
 	}
-	i.balancer.Update(i.now(), kind, entries)
+	return known
+}
+
+// Resume puts a server back.
+func (i *Instance) Resume(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	known := !i.closed && i.balancer.Resume(i.now(), id)
+	if known {
+		i.keep()
+	}
+	return known
+}
+
+// Pool counts the servers in the list and those of them that are avoided.
+func (i *Instance) Pool() (listed, avoided int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.balancer.Pool()
 }
 
 // Ready says whether there is a server to send to.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,7 +11,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,7 +21,9 @@
 	"brasswell/internal/backends"
 	"brasswell/internal/body"
 	"brasswell/internal/callers"
+	"brasswell/internal/console"
 	"brasswell/internal/discovery"
+	"brasswell/internal/figures"
 	"brasswell/internal/front"
 	"brasswell/internal/host"
 	"brasswell/internal/restart"
@@ -28,7 +32,11 @@
 
 // Config is all that a proxy is told.
 type Config struct {
-	Listen    string
+	Listen string
+	// Inherited is the platform's listening socket where it holds that itself, in place of Listen; the proxy
+	// closes its own copy and never shuts the socket down.
+	Inherited *os.File
+	Console   string // where operators call; "" for nowhere
 	Discovery string
 	Seed      uint64
 	Settings  *settings.Settings
@@ -51,6 +59,8 @@
 	// kernelShare of the memory bounds what all sockets may hold in the kernel, where it counts as ours and
 	// the collector does not see it. Left alone, one connection's buffers grow to megabytes.
 	kernelShare = 0.2
+	// The console holds one of consoleShare descriptors, within bounds: its callers may stay and say nothing.
+	consoleShare, leastConsole, mostConsole = 24, 8, 64
 	// A socket's buffer is no smaller than leastBuffer, which the kernel would not go below by much, and
 	// needs to be no larger than mostBuffer, which takes a whole body.
 	leastBuffer, mostBuffer = 8 << 10, 64 << 10
@@ -82,6 +92,9 @@
 	backends  *backends.Pool
 	discovery *discovery.Client
 	http      *http.Server
+	figures   *figures.Book
+	console   *console.Server // nil where operators have no address
+	accepting atomic.Bool     // callers' connections are taken
 	log       *slog.Logger
 
 	watching context.Context
@@ -100,10 +113,15 @@
 		return nil, fmt.Errorf("settings: limits.conn_idle_ms: %v is not above 0", s.ConnIdle)
 	}
 	sockets := float64(c.Sockets - reservedSockets)
+	consoleConns := 0
+	if c.Console != "" {
+		consoleConns = min(max(c.Sockets/consoleShare, leastConsole), mostConsole)
+		sockets -= float64(consoleConns)
+	}
 	buffers := socketBuffers(c.Memory, c.Sockets)
 	p := &Proxy{
 		callers: callers.NewSet(int(callerShare*sockets), int(crowdShare*sockets), c.Options.Callers.OnceIdle),
-		restart: restart.New(), log: c.Log,
+		restart: restart.New(), log: c.Log, figures: figures.NewBook(s.Classes),
 		backends: backends.NewPool(backends.Limits{
 			Conns: int(backendShare * sockets), ConnectTimeout: s.ConnectTimeout, ConnIdle: s.ConnIdle,
 			Control: buffers, Options: c.Options.Backends,
@@ -116,13 +134,13 @@
 		return nil, err
 	}
 	p.discovery = discovery.New(c.Discovery, s.Zones, c.Options.Discovery, c.Log, p.host.Update)
-	l, err := (&net.ListenConfig{Control: buffers}).Listen(context.Background(), "tcp", c.Listen)
+	l, err := listen(c, buffers)
 	if err != nil {
 		p.stop()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	p.listener = p.callers.Listen(l)
-	p.front = front.New(s, p.host, body.NewBudget(int64(bodyShare*float64(c.Memory))), p.callers, p.restart, c.Options.Callers)
+	p.front = front.New(s, p.host, body.NewBudget(int64(bodyShare*float64(c.Memory))), p.callers, p.restart, p.figures, c.Options.Callers)
 	p.http = &http.Server{
 		Handler:           p.front,
 		ReadHeaderTimeout: c.Options.Callers.HeadTimeout,
@@ -136,6 +154,12 @@
 		p.Close()
 		return nil, err
 	}
+	if c.Console != "" {
+		if p.console, err = console.New(c.Console, consoleConns, desk{p}, c.Log); err != nil {
+			p.Close()
+			return nil, err
+		}
+	}
 	if !s.Balancer.AskForList {
 		p.watches.Go(func() { p.discovery.Follow(p.watching) })
 	}
@@ -185,8 +209,19 @@
 // everything taken is answered, and leaves nothing running.
 func (p *Proxy) Serve(ctx context.Context) error {
 	defer p.Close()
+	if p.console != nil {
+		var console sync.WaitGroup
+		defer console.Wait()
+		defer p.console.Close()
+		console.Go(func() {
+			if err := p.console.Serve(); err != nil {
+				p.log.Error("operators have no console any more", "error", err)
+			}
+		})
+	}
 	served := make(chan error, 1)
 	go func() { served <- p.http.Serve(p.listener) }()
+	p.accepting.Store(true)
 	select {
 	case err := <-served:
 		return err
@@ -209,6 +244,9 @@
 	p.stop()
 	p.http.Close()
 	p.listener.Close()
+	if p.console != nil {
+		p.console.Close()
+	}
 	p.host.Close()
 	p.backends.Close()
 	p.watches.Wait()
