Split the decision module into a file for each concern

balance.go held subset, admission, health, cold starts, retries and quotas in over 1,000 lines.

Not taken: packages for each, which would have to share the server record and the request record and so export most of them.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,14 +1,16 @@
 package balance
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/pelletier/go-toml/v2"
 )
 
 const ms = time.Millisecond
@@ -633,20 +635,41 @@
 	return f.actions
 }
 
+// TestModuleKeepsItsSize holds all files that the deploy file names as policy to the limit on them together, and
+// names those that it should name and does not.
 func TestModuleKeepsItsSize(t *testing.T) {
-	f, err := os.Open("balance.go")
+	text, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var deploy struct{ Policy []string }
+	if err := toml.Unmarshal(text, &deploy); err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
 	lines := 0
-	for sc := bufio.NewScanner(f); sc.Scan(); {
-		text := strings.ReplaceAll(sc.Text(), "\t", "    ")
-		if strings.TrimSpace(text) != "" {
-			lines++
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") || file == "types.go" {
+			continue // the tests decide nothing, nor does the interface
+		}
+		if !slices.Contains(deploy.Policy, "balance/"+file) {
+			t.Errorf("%s is not named as policy", file)
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if len(text) > 110 {
-			t.Errorf("a line of %d characters: %s", len(text), text)
+		for line := range strings.Lines(string(text)) {
+			line = strings.ReplaceAll(strings.TrimSuffix(line, "\n"), "\t", "    ")
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if len(line) > 110 {
+				t.Errorf("%s: a line of %d characters: %s", file, len(line), line)
+			}
 		}
 	}
 	if lines > 1200 {
--- /dev/null
+++ b/balance/cold.go
@@ -0,0 +1,41 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// coldShare is the part of its full capacity that a server can be counted on to have.
+func (b *Balancer) coldShare(now time.Duration, s *server) float64 {
+	boot := max(s.entry.Boot, s.resumed)
+	age := now - boot
+	if boot <= 0 || age >= b.set.WarmUp {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*float64(max(age, 0))/float64(b.set.WarmUp)
+}
+
+// coldAllows keeps a cold server standing. All instances together may send it FallMultiple times its present
+// capacity; each keeps to its own part of once that: what a member serves it on average, times the cold
+// share. What is sent would be no guide: under overload it is a multiple of what servers can do. Only the
+// slice's own members are warmed up: as a spare, a cold server would hear from instances that its budget
+// does not count on.
+func (b *Balancer) coldAllows(now time.Duration, s *server) bool {
+	share := b.coldShare(now, s)
+	if share >= 1 {
+		return true
+	}
+	if !slices.Contains(b.order[:b.slice], s) {
+		return false
+	}
+	perMember := b.served.at(now) / float64(b.slice)
+	s.coldTokens = min(s.coldTokens+perMember*share*(now-s.coldAt).Seconds(), 1)
+	s.coldAt = now
+	return s.coldTokens >= 1
+}
+
+func (b *Balancer) spendCold(now time.Duration, s *server) {
+	if b.coldShare(now, s) < 1 {
+		s.coldTokens--
+	}
+}
--- a/balance/hand.go
+++ b/balance/hand.go
@@ -30,8 +30,8 @@
 }
 
 // Suspend takes a server out by hand: nothing new goes there until Resume, whatever the list says of that id
-// meanwhile, also once it has been removed and comes again. It reports whether a list has ever named the server;
-// one that is out already stays so.
+// meanwhile, also once it has been removed and comes again. It reports whether a list has ever named the
+// server; one that is out already stays so.
 func (b *Balancer) Suspend(now time.Duration, id string) bool {
 	if !b.everListed(id) {
 		return false
@@ -45,8 +45,8 @@
 	return true
 }
 
-// Resume puts a server back. It was restarted meanwhile, maybe with no news of it, so it counts as cold from now on,
-// and what it did before counts for nothing. A server that is not out stays as it is.
+// Resume puts a server back. It was restarted meanwhile, maybe with no news of it, so it counts as cold from now
+// on, and what it did before counts for nothing. A server that is not out stays as it is.
 func (b *Balancer) Resume(now time.Duration, id string) bool {
 	if !b.everListed(id) {
 		return false
--- /dev/null
+++ b/balance/quota.go
@@ -0,0 +1,46 @@
+package balance
+
+import (
+	"time"
+)
+
+const (
+	// quotaBurst is how long a tenant's unused quota is saved up.
+	quotaBurst = 2 * time.Second
+)
+
+// tenantWorth is what a tenant's next request is worth: less beyond its quota, of which each instance
+// counts its own part. It orders requests only while there is no room for all.
+func (b *Balancer) tenantWorth(now time.Duration, tenant int) float64 {
+	if len(b.quota) == 0 {
+		return 1
+	}
+	if tenant < 0 || tenant >= len(b.quota) {
+		return b.set.OverShareWorth // nobody's quota
+	}
+	perSecond := b.set.Tenants[tenant].QuotaPerSecond / float64(b.set.Instances)
+	if b.quota[tenant].take(now, perSecond, perSecond*quotaBurst.Seconds()) {
+		return 1
+	}
+	return b.set.OverShareWorth
+}
+
+// bucket is a token bucket that starts full.
+type bucket struct {
+	tokens float64
+	last   time.Duration
+	known  bool
+}
+
+func (t *bucket) take(now time.Duration, perSecond, most float64) bool {
+	if !t.known {
+		t.known, t.tokens = true, most
+	}
+	t.tokens = min(t.tokens+perSecond*(now-t.last).Seconds(), most)
+	t.last = now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
--- /dev/null
+++ b/balance/retry.go
@@ -0,0 +1,81 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// retryRatio is how much of the first attempts' number may be sent again: retries multiply from tier
+	// to tier, so each instance earns them. retryBurst is the most that can be saved up.
+	retryRatio, retryBurst = 0.1, 10.0
+)
+
+// mayHaveRun is the first attempt that may have run, or nil.
+func (q *request) mayHaveRun() *attempt {
+	for i := range q.attempts {
+		if !q.attempts[i].unrun {
+			return &q.attempts[i]
+		}
+	}
+	return nil
+}
+
+// tried says whether an attempt of the request has gone to s: what went wrong there may do so again.
+func (q *request) tried(s *server) bool {
+	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.s == s && !a.unsent })
+}
+
+// allows keeps the rule on effects for a further send: it may go to s only if no attempt may have run, or
+// the class is free, or s is in the group that drops the repeat and still remembers it.
+func (q *request) allows(now time.Duration, s *server) bool {
+	first := q.mayHaveRun()
+	if first == nil || q.class.Effect == Free {
+		return true
+	}
+	if q.class.Effect == SingleShot || now >= first.at+q.class.Window {
+		return false
+	}
+	switch q.class.Group {
+	case GroupZone:
+		return s.entry.Zone == first.s.entry.Zone
+	case GroupCell:
+		return s.entry.Cell == first.s.entry.Cell
+	}
+	return true
+}
+
+// refusable says whether the client may be told that trying again is harmless.
+func (q *request) refusable() bool {
+	return q.mayHaveRun() == nil || q.class.Effect == Free ||
+		q.class.Effect == Guarded && q.class.Group == GroupAll
+}
+
+// tryAgain follows an attempt that did not serve the request: another send where the class, the time and
+// the retry budget allow it, or else the final answer.
+func (b *Balancer) tryAgain(now time.Duration, q *request) {
+	if now < q.end && len(q.attempts) < b.set.MaxAttempts && b.retries >= 1 {
+		if s := b.pick(now, q); s != nil {
+			b.retries--
+			b.send(now, q, s)
+			return
+		}
+	}
+	b.answer(now, q)
+}
+
+// tryLater follows an attempt that was never sent because this instance was short of something, sockets
+// mostly. It says nothing about the server and spends no retry; at once it would only fail again.
+func (b *Balancer) tryLater(now time.Duration, q *request) {
+	if now+holdStep >= q.end || len(q.attempts) >= b.set.MaxAttempts {
+		b.answer(now, q)
+		return
+	}
+	b.afterFor(q, holdStep, func(now time.Duration) {
+		if !q.answered {
+			b.hold(q)
+			b.retryHeld(now)
+			b.keepHolding()
+		}
+	})
+}
