--- a/balance/hand.go
+++ b/balance/hand.go
@@ -45,8 +45,8 @@
 	return true
 }
 
-// Resume puts a server back. It was restarted meanwhile, maybe with no news of it, so it counts as cold from now
-// on, and what it did before counts for nothing. A server that is not out stays as it is.
+// Resume puts a server back. It was restarted meanwhile, maybe with no news of it, so it counts as cold from
+// now on, and what it did before counts for nothing. A server that is not out stays as it is.
 func (b *Balancer) Resume(now time.Duration, id string) bool {
 	if !b.everListed(id) {
 		return false
