Pass bodies and answers over 64 KiB on while they come, with back pressure

Design: a body over 64 KiB is a stream that runs 64 KiB ahead of the attempt that takes it; what has been taken is kept for a further attempt up to 1 MiB within the budget, and from then on the module is told that the request is spent: what never ran is refused, what may have run fails, nothing is repeated with half a body. An answer is committed with its first bytes; the module learns from these (Started) and not from the transfer. A request that still arrives counts as work of its server from its last byte on (Received). Silence and rate tell slow from dead (body.Pace). Not taken: keeping all bodies whole (32 MB each, far over the limit) and a pipe of the library's (no second attempt for anything that streams). A refusal by a timer now frees its record; it stayed for good before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,6 +21,8 @@
 	canceled bool
 	unrun    bool // proven never to have run
 	unsent   bool // never sent, for want of something of ours
+	counted  bool // its server may be at work on it
+	judged   bool // its answer has begun, and what that tells has been learned
 }
 
 // request is one accepted request until its last attempt has ended.
@@ -32,6 +34,9 @@
 	out      int
 	answered bool
 	started  bool // its answer streams: it belongs to the client
+	arriving bool // its body still comes in
+	spent    bool // its body is no longer whole here
+	since    time.Duration
 	held     bool
 	worth    float64
 	timers   []uint64  // set for it alone
@@ -100,7 +105,7 @@
 		return
 	}
 	c := &b.set.Classes[r.Class]
-	q := &request{Request: r, class: c, end: now + r.Left}
+	q := &request{Request: r, class: c, end: now + r.Left, arriving: r.Arriving, since: now}
 	b.requests[r.ID] = q
 	useful := b.useful(now, q)
 	if r.Left <= 0 || useful <= 0 && float64(b.inFlight+1) > nearLimit*b.limit {
@@ -111,7 +116,9 @@
 	}
 	q.worth = c.Worth * b.tenantWorth(now, r.Tenant)
 	b.retries = min(b.retries+retryRatio, retryBurst)
-	b.afterFor(q, q.end-now, func(now time.Duration) { b.giveUp(now, q) })
+	if !q.arriving {
+		b.afterFor(q, q.end-now, func(now time.Duration) { b.giveUp(now, q) })
+	}
 	b.hold(q)
 	b.retryHeld(now)
 	if q.held {
@@ -130,18 +137,28 @@
 
 func (b *Balancer) send(now time.Duration, q *request, s *server) {
 	q.held = false
-	if q.out == 0 {
-		b.inFlight++
-	}
 	q.attempts = append(q.attempts, attempt{s: s, at: now})
 	q.out++
-	s.track(now)
-	s.inFlight++
 	s.trial = s.ejected > 0
 	b.spendCold(now, s)
-	b.host.Send(q.ID, s.id, q.end-now)
+	left := q.end - now
+	if q.arriving {
+		left = q.end - q.since
+	}
+	b.host.Send(q.ID, s.id, left)
+	if !q.arriving {
+		b.count(now, q, len(q.attempts)-1)
+	}
+}
+
+// count counts an attempt as work of its server, which has all of the request.
+func (b *Balancer) count(now time.Duration, q *request, index int) {
+	a := &q.attempts[index]
+	a.counted = true
+	a.s.track(now)
+	a.s.inFlight++
+	b.inFlight++
 	if t := b.tail[q.Class]; t.known() {
-		index := len(q.attempts) - 1
 		wait := time.Duration(float64(t.quantile) * float64(time.Second))
 		b.afterFor(q, wait, func(now time.Duration) { b.stalled(now, q, index) })
 	}
@@ -155,27 +172,24 @@
 	}
 	a := &q.attempts[r.Attempt]
 	a.over, a.unrun, a.unsent = true, r.Outcome.ProvesUnrun(), r.Outcome == Ignored
-	a.s.track(now)
-	a.s.inFlight--
 	q.out--
-	b.learn(q, a.s, r)
-	if q.out == 0 {
-		b.inFlight--
-	}
-	switch r.Outcome {
-	case OK, Failed, QueueFull, Rejected:
-		a.s.answered, b.newest = now, max(b.newest, a.at)
+	q.spent = q.spent || r.Spent
+	if !a.judged {
+		b.take(now, q, a, r)
+	} else if r.Outcome != OK {
+		b.judge(now, a.s, r.Outcome, false)
 	}
-	b.judge(now, a.s, r.Outcome, b.overdue(q, a.s, r))
 	if r.Finished {
 		q.answered = true
 	}
 	if !q.answered && !q.started && q.out == 0 {
-		switch r.Outcome {
-		case Ignored:
+		switch {
+		case r.Outcome == Ignored:
 			b.tryLater(now, q)
-		case Rejected:
+		case r.Outcome == Rejected:
 			b.finish(now, q, false) // it would be turned away elsewhere too
+		case q.spent:
+			b.answer(now, q)
 		default:
 			b.tryAgain(now, q)
 		}
@@ -220,10 +234,52 @@
 	}
 }
 
-// Started takes in that the answer to a request has begun to stream: no further send, no deadline.
+// take takes in what an attempt's outcome tells of its class and its server.
+func (b *Balancer) take(now time.Duration, q *request, a *attempt, r Result) {
+	a.judged = true
+	if a.counted {
+		a.s.track(now)
+		a.s.inFlight--
+	}
+	b.learn(q, a.s, r)
+	if a.counted {
+		b.inFlight--
+	}
+	switch r.Outcome {
+	case OK, Failed, QueueFull, Rejected:
+		a.s.answered, b.newest = now, max(b.newest, a.at)
+	}
+	b.judge(now, a.s, r.Outcome, b.overdue(q, a.s, r))
+}
+
+// Started takes in that the answer to a request has begun to stream: no further send, no deadline. The time
+// of its first byte is what tells how busy the server is; its last one depends on who reads it.
 func (b *Balancer) Started(now time.Duration, id string, attempt int) {
-	if q := b.requests[id]; q != nil {
-		q.started = true
+	q := b.requests[id]
+	if q == nil || attempt < 0 || attempt >= len(q.attempts) || q.attempts[attempt].over || q.started {
+		return
+	}
+	q.started = true
+	a := &q.attempts[attempt]
+	b.take(now, q, a, Result{ID: id, Attempt: attempt, Outcome: OK, Latency: now - a.at})
+	b.retryHeld(now)
+}
+
+// Received takes in that the last byte of a request that was arriving has come. Its time counts from now, and
+// so does that of its server, which has not begun before.
+func (b *Balancer) Received(now time.Duration, id string) {
+	q := b.requests[id]
+	if q == nil || !q.arriving {
+		return
+	}
+	q.arriving = false
+	q.end += now - q.since
+	b.afterFor(q, q.end-now, func(now time.Duration) { b.giveUp(now, q) })
+	for i := range q.attempts {
+		if a := &q.attempts[i]; !a.over && !a.judged {
+			a.at = now
+			b.count(now, q, i)
+		}
 	}
 }
 
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -54,7 +54,7 @@
 // tryAgain follows an attempt that did not serve the request: another send where the class, the time and
 // the retry budget allow it, or else the final answer.
 func (b *Balancer) tryAgain(now time.Duration, q *request) {
-	if now < q.end && len(q.attempts) < b.set.MaxAttempts && b.retries >= 1 {
+	if !q.late(now) && len(q.attempts) < b.set.MaxAttempts && b.retries >= 1 {
 		if s := b.pick(now, q); s != nil {
 			b.retries--
 			b.send(now, q, s)
@@ -64,10 +64,13 @@
 	b.answer(now, q)
 }
 
+// late says whether a request's time is over; that of one which is still arriving has not begun.
+func (q *request) late(now time.Duration) bool { return now >= q.end && !q.arriving }
+
 // tryLater follows an attempt that was never sent because this instance was short of something, sockets
 // mostly. It says nothing about the server and spends no retry; at once it would only fail again.
 func (b *Balancer) tryLater(now time.Duration, q *request) {
-	if now+holdStep >= q.end || len(q.attempts) >= b.set.MaxAttempts {
+	if q.late(now+holdStep) || len(q.attempts) >= b.set.MaxAttempts {
 		b.answer(now, q)
 		return
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -147,7 +147,9 @@
 	ID     string
 	Class  int
 	Tenant int
-	Left   time.Duration // until the client gives this try up
+	Left   time.Duration // until the client gives this try up; from Received on if it is still arriving
+	// Arriving requests are sent on while their body still comes in. A server begins once it has all of it.
+	Arriving bool
 }
 
 // Result is how one attempt ended. Finished is set when the request is over, by this outcome or earlier.
@@ -157,12 +159,14 @@
 	Outcome  Outcome
 	Latency  time.Duration
 	Finished bool
+	Spent    bool // the body is no longer whole here: the request cannot be sent again
 }
 
 // Host carries out what an instance decides, in the order of the calls, at the time of the event being
 // handled. It must not call back into the Balancer from within a call.
 type Host interface {
-	// Send starts the next attempt of a request; attempts count from 0. It ends in one Result.
+	// Send starts the next attempt of a request; attempts count from 0. It ends in one Result. The timeout
+	// counts from Received for a request that is still arriving, and no longer once the answer has Started.
 	Send(id, server string, timeout time.Duration)
 	// Refuse is a final answer that lets the client try again without harm, after a wait if it is above 0.
 	Refuse(id string, wait time.Duration)
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"brasswell/internal/body"
 	"brasswell/internal/framing"
 )
 
@@ -28,6 +29,11 @@
 	wrote atomic.Bool // a write of this attempt has begun
 	began atomic.Bool // the write with the request's last byte has begun
 	whole func()      // called once that write is over, then nil; used by the one that writes
+	// streams says that a message is passed on while it comes: each read and write may wait for silence, and the
+	// rest of an answer is not timed beyond that.
+	streams   atomic.Bool
+	answering atomic.Bool // it is the answer that streams
+	silence   time.Duration
 
 	// Guarded by pool.mu.
 	inRead   bool // a Read waits on the socket
@@ -49,7 +55,11 @@
 	header.Set("X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	c.whole = m.Written
 	req := &http.Request{Method: m.Method, URL: m.target(c.endpoint.Address), Host: m.Host, Header: header, Body: http.NoBody}
-	if m.Body.Size() > 0 {
+	if s := m.Body.Stream(); s != nil {
+		c.stream()
+		req.Body = &streamReader{conn: c, reader: s.Reader()}
+		req.ContentLength = s.Length()
+	} else if m.Body.Size() > 0 {
 		req.Body = &bodyReader{conn: c, data: m.Body.Data()}
 		req.ContentLength = m.Body.Size()
 	} else {
@@ -75,6 +85,9 @@
 	if last {
 		c.began.Store(true)
 	}
+	if c.streams.Load() {
+		c.Conn.SetWriteDeadline(time.Now().Add(c.silence))
+	}
 	n, err := c.Conn.Write(b)
 	if last && err == nil && c.whole != nil {
 		c.whole()
@@ -96,6 +109,9 @@
 	}
 	p.mu.Unlock()
 
+	if c.streams.Load() && c.wrote.Load() {
+		c.Conn.SetReadDeadline(c.patience())
+	}
 	n, err := c.Conn.Read(b)
 
 	p.mu.Lock()
@@ -122,11 +138,29 @@
 	return n, err
 }
 
-// watchRest gives an answer that has begun Options.AnswerTimeout to come to its end.
+// stream says that from now on a message is passed on while it comes.
+func (c *conn) stream() {
+	c.pool.mu.Lock()
+	c.silence = c.pool.options.StreamSilence
+	c.restEnd = time.Time{}
+	c.pool.mu.Unlock()
+	c.streams.Store(true)
+}
+
+// patience is by when a read must bring something: the answer to a request that is still on its way has all the time
+// that the attempt has.
+func (c *conn) patience() time.Time {
+	if c.answering.Load() {
+		return time.Now().Add(c.silence)
+	}
+	return time.Time{}
+}
+
+// watchRest gives an answer that has begun Options.AnswerTimeout to bring its next byte.
 func (c *conn) watchRest() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if !c.restEnd.IsZero() || c.closed {
+	if c.closed || c.streams.Load() {
 		return
 	}
 	c.restEnd = time.Now().Add(c.pool.options.AnswerTimeout)
@@ -178,6 +212,14 @@
 	return c.Conn.Close()
 }
 
+// settle makes a connection that has been idle ready for its next request.
+func (c *conn) settle() {
+	if c.streams.Swap(false) {
+		c.answering.Store(false)
+		c.Conn.SetDeadline(time.Time{})
+	}
+}
+
 // discard ends a connection that must not be used again: after a time-out, a cancel, stray bytes or an answer
 // not read to its end, what comes next on it could be taken for another request's answer.
 func (c *conn) discard() {
@@ -203,3 +245,22 @@
 }
 
 func (r *bodyReader) Close() error { return nil }
+
+// streamReader reads a streamed body for one attempt, and notes when its last byte is handed over.
+type streamReader struct {
+	conn   *conn
+	reader *body.Reader
+}
+
+func (r *streamReader) Read(p []byte) (int, error) {
+	n, last, err := r.reader.Read(p)
+	if last {
+		r.conn.last.Store(true)
+	}
+	return n, err
+}
+
+func (r *streamReader) Close() error {
+	r.reader.Close()
+	return nil
+}
--- a/internal/backends/message.go
+++ b/internal/backends/message.go
@@ -12,7 +12,7 @@
 	Method, URI, Host string
 	URL               *url.URL
 	Header            http.Header
-	Body              *body.Body
+	Body              *body.Body // a stream's readers follow one another, one for each attempt
 	// Written is called once for each attempt that has been written whole; it must not block.
 	Written func()
 }
--- a/internal/backends/options.go
+++ b/internal/backends/options.go
@@ -8,10 +8,13 @@
 
 // Options are what is expected of backends.
 type Options struct {
-	// AnswerTimeout is how long an answer may take from its first byte to its last. A live backend sends at most
-	// 64 KiB at once; one that falls silent within its answer will not go on, and the time that is left may do
-	// for another attempt. It would harm backends that send an answer as they compute it.
+	// AnswerTimeout is how long an answer that has begun and of which nothing has been passed on may be silent.
+	// One that falls silent there will not go on, and the time that is left may do for another attempt. It
+	// would harm backends that send an answer as they compute it.
 	AnswerTimeout time.Duration
+	// StreamSilence is how long a backend may be silent, or take nothing, within a message that is passed on
+	// while it comes. There is no other attempt then, so it is only against peers that will never go on.
+	StreamSilence time.Duration
 	// Settle is how long a connection rests after an answer before it carries another request. What a backend
 	// sends too much mostly comes right behind its answer; on a connection already in use again it would pass
 	// for the next answer. Against what comes later than that this is no help.
@@ -20,7 +23,7 @@
 
 // DefaultOptions fit backends that may answer with more than belongs to them.
 func DefaultOptions() Options {
-	return Options{AnswerTimeout: 400 * time.Millisecond, Settle: 5 * time.Millisecond}
+	return Options{AnswerTimeout: 400 * time.Millisecond, StreamSilence: 10 * time.Second, Settle: 5 * time.Millisecond}
 }
 
 // Section describes the options to the operator file.
@@ -31,7 +34,9 @@
 		Absent: "the defaults hold.",
 		Keys: []operator.Key{
 			operator.Duration("answer_timeout", &o.AnswerTimeout, 10*time.Millisecond, time.Minute,
-				"How long an answer may take from its first byte to its last. Raise it for backends that send an answer as they compute it.").OnReload(),
+				"How long an answer that has begun may be silent before it is given up. Raise it for backends that send an answer as they compute it.").OnReload(),
+			operator.Duration("stream_silence", &o.StreamSilence, 100*time.Millisecond, time.Hour,
+				"How long a backend may be silent, or take nothing, within a message over 64 KiB, which is passed on while it comes.").OnReload(),
 			operator.Duration("settle", &o.Settle, 0, time.Second,
 				"How long a connection rests after an answer, so that stray bytes behind it cannot pass for the next one. 0 trusts the backends.").OnReload(),
 		},
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -93,6 +93,7 @@
 		k.wrote.Store(false)
 		k.last.Store(false)
 		k.began.Store(false)
+		k.settle()
 		c = k
 	}
 	if c == nil && p.open-len(dead) >= p.limit {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -89,21 +90,30 @@
 		s.turnAway(w, ask, http.StatusServiceUnavailable, errors.New("too many connections"))
 		return
 	}
-	kept, err := s.readBody(w, r)
+	kept, rest, err := s.readBody(w, r)
 	switch {
-	case errors.Is(err, body.ErrTooLarge):
-		s.turnAway(w, ask, http.StatusRequestEntityTooLarge, err)
-	case errors.Is(err, body.ErrNoRoom):
-		s.turnAway(w, ask, http.StatusServiceUnavailable, err)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		s.turnAway(w, ask, http.StatusRequestTimeout, err)
 	case err != nil:
-		s.turnAway(w, ask, http.StatusBadRequest, err)
+		s.turnAway(w, ask, badBody(err), err)
+	case rest != nil:
+		s.serveStream(w, r, ask, kept, rest)
 	default:
 		s.serve(w, r, ask, kept)
 	}
 }
 
+// badBody is the status for a body that cannot be read.
+func badBody(err error) int {
+	switch {
+	case errors.Is(err, body.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, body.ErrNoRoom):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
+
 // turnAway answers a request that is not taken on, and ends its connection: what else stands on it may be a body
 // that nobody has read. net/http still reads some of that, and would wait for a body that never comes.
 func (s *Front) turnAway(w http.ResponseWriter, a ask, status int, err error) {
@@ -128,9 +138,7 @@
 	taken := time.Now()
 	s.figures.Taken()
 	defer s.figures.Ended()
-	message := newMessage(r, kept)
-	message.Written = func() { s.figures.Try(ask.class) }
-	q := s.instance.Submit(message, ask.class, ask.tenant, s.restart.Cap(ask.left))
+	q := s.submit(r, ask, kept)
 	var f host.Final
 	select {
 	case f = <-q.Final():
@@ -144,8 +152,13 @@
 	if f.Verdict == host.Served {
 		s.restart.Answered(time.Since(taken))
 	}
-	s.figures.Count(ask.class, outcomes[f.Verdict])
-	s.answer(w, f)
+	s.answer(w, ask, f)
+}
+
+func (s *Front) submit(r *http.Request, a ask, kept *body.Body) *host.Request {
+	message := newMessage(r, kept)
+	message.Written = func() { s.figures.Try(a.class) }
+	return s.instance.Submit(message, a.class, a.tenant, s.restart.Cap(a.left))
 }
 
 var outcomes = map[host.Verdict]figures.Outcome{
@@ -241,19 +254,19 @@
 	}
 }
 
-// readBody reads the request to its last byte.
-func (s *Front) readBody(w http.ResponseWriter, r *http.Request) (*body.Body, error) {
+// readBody reads the request to its last byte, or returns what the rest of a long one comes from.
+func (s *Front) readBody(w http.ResponseWriter, r *http.Request) (*body.Body, io.Reader, error) {
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(s.options.Load().BodyTimeout))
-	b, err := body.Read(r.Body, r.ContentLength, s.bodies)
-	if err == nil {
+	paced := newPacedReader(r.Body, control, s.options.Load().bodyPace())
+	b, rest, err := body.Read(paced, r.ContentLength, s.bodies)
+	if err == nil && rest == nil {
 		// A deadline left standing would later look as if the caller had gone.
 		control.SetReadDeadline(time.Time{})
 	}
-	return b, err
+	return b, rest, err
 }
 
 func newMessage(r *http.Request, kept *body.Body) *backends.Message {
@@ -288,9 +301,15 @@
 	return false
 }
 
-// answer writes the one final answer.
-func (s *Front) answer(w http.ResponseWriter, f host.Final) {
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.Load().WriteTimeout))
+// answer writes the one final answer, and counts it.
+func (s *Front) answer(w http.ResponseWriter, a ask, f host.Final) {
+	if f.Verdict == host.Served && f.Reply.Rest != nil {
+		s.passOn(w, a, f.Reply)
+		return
+	}
+	s.figures.Count(a.class, outcomes[f.Verdict])
+	control := http.NewResponseController(w)
+	control.SetWriteDeadline(time.Now().Add(s.options.Load().WriteTimeout))
 	header := w.Header()
 	if s.restart.Closing() {
 		header.Set("Connection", "close")
@@ -306,13 +325,28 @@
 		http.Error(w, "failed", http.StatusBadGateway)
 		return
 	}
-	copyEndToEnd(header, f.Reply.Header)
+	answerHeader(header, f.Reply)
+	w.WriteHeader(http.StatusOK)
+	text := f.Reply.Body
+	for len(text) > pieceBytes { // who reads slowly and moves is waited for
+		if _, err := w.Write(text[:pieceBytes]); err != nil {
+			return
+		}
+		text = text[pieceBytes:]
+		control.SetWriteDeadline(time.Now().Add(s.options.Load().WriteTimeout))
+	}
+	w.Write(text)
+}
+
+// answerHeader makes the header of a backend's answer that of the caller's.
+func answerHeader(header http.Header, r *backends.Reply) {
+	copyEndToEnd(header, r.Header)
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // keeps net/http from guessing
 	}
-	header.Set("Content-Length", strconv.Itoa(len(f.Reply.Body)))
-	w.WriteHeader(http.StatusOK)
-	w.Write(f.Reply.Body)
+	if r.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	}
 }
 
 // chunked says whether the request's body is framed by chunks and no length, as far as its connection shows.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,6 +38,7 @@
 	attempts []*attempt
 	out      int
 	answered bool
+	arriving bool       // its body still comes in
 	final    chan Final // takes exactly one, without blocking
 }
 
@@ -47,10 +48,14 @@
 	number  int
 	to      backends.Endpoint
 	sent    time.Duration
+	from    time.Duration // when the backend can have begun: sent, or when the request had all come
 	end     time.Duration // when the proxy stops waiting
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer
+	over    bool
+	late    bool // its time has run out
+	passing bool // its answer is being passed on
 }
 
 // Instance hosts one balancer. It is the balancer's Host: the calls come while mu is held, so none of them may
@@ -97,8 +102,8 @@
 // now is Unix time, as the list's start times are, but never steps back.
 func (i *Instance) now() time.Duration { return i.unix + time.Since(i.started) }
 
-// Submit hands a request to the balancer. Its clock starts here, when its last byte has been read. The ids are
-// our own: callers may use theirs again, and the balancer takes a known id for one it already has.
+// Submit hands a request to the balancer. Its clock starts here, when its last byte has been read, or with Received
+// if its body is a stream, which the caller fills. The ids are our own: callers may use theirs again, and the balancer takes a known id for one it already has.
 func (i *Instance) Submit(m *backends.Message, class, tenant int, left time.Duration) *Request {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -109,11 +114,35 @@
 		return q
 	}
 	i.requests[q.id] = q
-	i.balancer.Submit(i.now(), balance.Request{ID: q.id, Class: class, Tenant: tenant, Left: left})
+	q.arriving = m.Body.Stream() != nil
+	i.balancer.Submit(i.now(), balance.Request{
+		ID: q.id, Class: class, Tenant: tenant, Left: left, Arriving: q.arriving,
+	})
 	i.tidy(q)
 	return q
 }
 
+// Received says that the last byte of a request's streamed body has come.
+func (i *Instance) Received(q *Request) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !q.arriving || i.closed {
+		return
+	}
+	q.arriving = false
+	now := i.now()
+	for _, a := range q.attempts {
+		if a.over {
+			continue
+		}
+		left := a.end - a.sent
+		a.from, a.end = now, now+left
+		a.timer.Reset(left)
+	}
+	i.balancer.Received(now, q.id)
+	i.tidy(q)
+}
+
 // Drop tells the balancer that a request's caller has gone: callers give a request up by closing the connection
 // or ending their sending on it. What is still out for it is called off.
 func (i *Instance) Drop(q *Request) {
@@ -151,31 +180,60 @@
 		i.end(a, balance.Ignored, nil) // its time has expired: never sent
 		return
 	}
-	outcome, r := i.backends.Exchange(a.ctx, a.to, a.request.message, func() (time.Duration, bool) {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		left := a.end - i.now()
-		// While the connection came up, the list or a hand may have taken the server out.
-		usable := i.address[a.to.Server] == a.to && i.balancer.MaySend(a.to.Server)
-		return left, usable && left > 0 && !a.request.answered && a.ctx.Err() == nil
+	outcome, r := i.backends.Exchange(a.ctx, a.to, a.request.message, backends.Hooks{
+		Begin:   func() (time.Duration, bool) { return i.begin(a) },
+		Started: func(r *backends.Reply) bool { return i.begun(a, r) },
 	})
 	i.end(a, outcome, r)
 }
 
+// begin says how long an attempt that is about to be written may take, and whether it is still wanted.
+func (i *Instance) begin(a *attempt) (time.Duration, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	left := a.end - i.now()
+	if a.request.arriving {
+		left = a.end - a.sent
+	}
+	// While the connection came up, the list or a hand may have taken the server out.
+	usable := i.address[a.to.Server] == a.to && i.balancer.MaySend(a.to.Server)
+	return left, usable && left > 0 && !a.request.answered && a.ctx.Err() == nil
+}
+
+// begun passes on an answer that streams, and says whether somebody takes it. From here on no time ends the attempt.
+func (i *Instance) begun(a *attempt, r *backends.Reply) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if a.late || a.ctx.Err() != nil || !a.request.answer(Final{Verdict: Served, Reply: r}) {
+		return false
+	}
+	a.passing = true
+	a.timer.Stop()
+	i.balancer.Started(i.now(), a.request.id, a.number)
+	return true
+}
+
 // end tells the balancer how an attempt ended, and first answers the request if that served it.
 func (i *Instance) end(a *attempt, outcome balance.Outcome, r *backends.Reply) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	a.timer.Stop()
 	a.cancel(nil)
+	a.over = true
 	q := a.request
 	q.out--
 	if outcome == balance.OK && r != nil {
 		q.answer(Final{Verdict: Served, Reply: r})
 	}
 	now := i.now()
+	latency := now - a.from
+	if q.arriving {
+		latency = 0 // the backend has not had the time to do anything
+	}
+	stream := q.message.Body.Stream()
 	i.balancer.Result(now, balance.Result{
-		ID: q.id, Attempt: a.number, Outcome: outcome, Latency: now - a.sent, Finished: q.answered,
+		ID: q.id, Attempt: a.number, Outcome: outcome, Latency: latency, Finished: q.answered,
+		Spent: stream != nil && stream.EndAttempt(),
 	})
 	i.tidy(q)
 }
@@ -257,9 +315,12 @@
 func (i *Instance) Send(id, server string, timeout time.Duration) {
 	q := i.requests[id]
 	now := i.now()
-	a := &attempt{request: q, number: len(q.attempts), to: i.address[server], sent: now, end: now + timeout}
+	a := &attempt{request: q, number: len(q.attempts), to: i.address[server], sent: now, from: now, end: now + timeout}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
-	a.timer = time.AfterFunc(timeout, func() { a.cancel(backends.ErrTimedOut) })
+	a.timer = time.AfterFunc(timeout, func() { i.expire(a) })
+	if q.arriving {
+		a.timer.Stop() // its time has not begun
+	}
 	q.attempts = append(q.attempts, a)
 	q.out++
 	select {
@@ -269,6 +330,17 @@
 	}
 }
 
+// expire ends an attempt whose time is over, unless its answer is being passed on.
+func (i *Instance) expire(a *attempt) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.now() < a.end || a.over || a.passing {
+		return // Received has set its time anew meanwhile
+	}
+	a.late = true
+	a.cancel(backends.ErrTimedOut)
+}
+
 // worker carries an attempt out, and then others as they come. An attempt needs a stack that a new goroutine first
 // has to grow, so a few workers wait for the next one.
 func (i *Instance) worker(a *attempt) {
@@ -298,6 +370,7 @@
 func (i *Instance) decide(id string, f Final) {
 	if q := i.requests[id]; q != nil {
 		q.answer(f)
+		i.tidy(q) // a timer may have decided it, and nothing else comes for it then
 	}
 }
 
