Keep a leaving process's own end apart from what a client's patience tells

Change: Request.Within beside Left; age is told from Left alone. Tests of the handover's messages, state and carried knowledge; a peer reads while it writes (two that wrote at once waited for each other, found by a test).

Ruled out: that requests met a close (0 at the door), and that the new process sent to backends out by hand.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -107,6 +107,9 @@
 	}
 	c := &b.set.Classes[r.Class]
 	q := &request{Request: r, class: c, end: now + r.Left, arriving: r.Arriving, since: now}
+	if r.Within > 0 {
+		q.end = min(q.end, now+r.Within)
+	}
 	b.requests[r.ID] = q
 	useful := b.useful(now, q)
 	if r.Left <= 0 || useful <= 0 && float64(b.inFlight+1) > nearLimit*b.limit {
--- /dev/null
+++ b/balance/carry_test.go
@@ -0,0 +1,105 @@
+package balance
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestAdoptedInstanceGoesOnWhereTheOtherIs holds what a second instance decides against what the first does: same
+// subset and order, same bans, same ejections, same limit, and no cold start for what is warm.
+func TestAdoptedInstanceGoesOnWhereTheOtherIs(t *testing.T) {
+	set := testSettings()
+	set.Instances = 4
+	set.Tenants = []Tenant{{QuotaPerSecond: 100}}
+	f := newFake(t, set, fleet(40))
+	f.serve("a", 300, 10*ms)
+	f.b.Update(f.now, Delta, []Entry{{ID: "a-new"}, {ID: "s004", State: Gone}, {ID: "s005", State: Draining}})
+	f.b.Suspend(f.now, f.b.order[0].id)
+	f.b.Suspend(f.now, "s004")
+	f.b.considerEjection(f.now, f.b.order[1], true)
+	f.b.Update(f.now, Delta, []Entry{{ID: f.b.order[2].id, Boot: f.now}})
+	f.serve("b", 100, 10*ms)
+
+	g := newFake(t, set, nil)
+	g.now = f.now
+	g.b.Adopt(g.now, f.b.Carry(f.now))
+	ids := func(b *Balancer) (list []string) {
+		for _, s := range b.active {
+			list = append(list, s.id)
+		}
+		return list
+	}
+	if got, want := ids(g.b), ids(f.b); !slices.Equal(got, want) {
+		t.Errorf("subset %v, the other's %v", got, want)
+	}
+	for _, id := range []string{f.b.order[0].id, "s004", "s005"} {
+		if g.b.MaySend(id) {
+			t.Errorf("%s may be sent to", id)
+		}
+	}
+	if !g.b.Resume(g.now, "s004") {
+		t.Error("s004 was listed once, and is not known any more")
+	}
+	if one, two := f.b.coldShare(f.now, f.b.order[2]), g.b.coldShare(g.now, g.b.order[2]); one != two || one >= 1 {
+		t.Errorf("cold share %v, the other's %v", two, one)
+	}
+	if g.b.limit != f.b.limit || !reflect.DeepEqual(g.b.tail, f.b.tail) || !reflect.DeepEqual(g.b.mean, f.b.mean) {
+		t.Error("the limit or the learned times differ")
+	}
+	listed, avoided := f.b.Pool()
+	if l, a := g.b.Pool(); l != listed || a != avoided {
+		t.Errorf("%d listed, %d avoided; the other has %d and %d", l, a, listed, avoided)
+	}
+	went := g.serve("c", 200, 10*ms)
+	if went[f.b.order[0].id]+went["s005"] > 0 || len(went) < 5 {
+		t.Errorf("went to %v", went)
+	}
+}
+
+// TestColdBudgetIsOneForBoth runs two instances side by side on halves of the traffic: a cold server gets no more from
+// both than from one alone.
+func TestColdBudgetIsOneForBoth(t *testing.T) {
+	cold := func(parts []float64) (sends int) {
+		f := newFake(t, testSettings(), fleet(8))
+		f.serve("a", 500, 10*ms)
+		f.b.Update(f.now, Delta, []Entry{{ID: "s003", Boot: f.now}})
+		f.b.servers["s003"].coldTokens = 1
+		carried := f.b.Carry(f.now)
+		for i, part := range parts {
+			g := newFake(t, testSettings(), nil)
+			g.now = f.now
+			g.b.Adopt(g.now, carried)
+			g.b.SetPart(part)
+			if i > 0 {
+				g.b.servers["s003"].coldTokens = 0
+			}
+			// What has been carried fades as fast as the own traffic replaces it.
+			sends += g.serve("b", 200/len(parts), time.Duration(10*len(parts))*ms)["s003"]
+		}
+		return sends
+	}
+	alone, both := cold([]float64{1}), cold([]float64{0.5, 0.5})
+	if alone == 0 || both > alone+1 {
+		t.Errorf("%d sends by one, %d by two", alone, both)
+	}
+}
+
+// TestAdoptTakesWhatFits hands over from other settings: more classes, no tenants.
+func TestAdoptTakesWhatFits(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(8))
+	f.serve("a", 100, 10*ms)
+	c := f.b.Carry(f.now)
+	set := testSettings()
+	set.Classes = set.Classes[:2]
+	set.Tenants = []Tenant{{QuotaPerSecond: 100}}
+	g := newFake(t, set, nil)
+	g.now = f.now
+	c.Limit, c.Retries, c.Served = -5, 1e9, -1
+	c.Slots = append(c.Slots, "nobody")
+	g.b.Adopt(g.now, c)
+	if went := g.serve("b", 100, 10*ms); len(went) != 8 {
+		t.Errorf("went to %v", went)
+	}
+}
--- a/balance/hand_test.go
+++ b/balance/hand_test.go
@@ -174,3 +174,24 @@
 		t.Fatal("the latest is forgotten")
 	}
 }
+
+// TestTimeOfTheInstanceTellsNothingOfTheClient submits first tries to an instance that has less time than they. Each
+// has all the time that the instance has: none is taken for a late last try.
+func TestTimeOfTheInstanceTellsNothingOfTheClient(t *testing.T) {
+	set := testSettings()
+	set.Classes[2].LateWorth, set.Classes[1].LateWorth = 0, 0
+	for _, class := range []int{1, 2} {
+		f := newFake(t, set, fleet(8))
+		f.submit("usual", class)
+		f.result("usual", 0, OK)
+		f.b.Submit(f.now, Request{ID: "q", Class: class, Left: 2 * time.Second, Within: 700 * ms})
+		f.advance(f.now + 690*ms)
+		if f.final["q"] != "" {
+			t.Errorf("class %d: %s before its time", class, f.final["q"])
+		}
+		f.advance(f.now + 20*ms)
+		if f.final["q"] == "" {
+			t.Errorf("class %d: open after the instance's time", class)
+		}
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -148,6 +148,9 @@
 	Class  int
 	Tenant int
 	Left   time.Duration // until the client gives this try up; from Received on if it is still arriving
+	// Within is how long this instance can work on it, where that may be less than Left; 0 for no bound. Left alone
+	// tells what the client does.
+	Within time.Duration
 	// Arriving requests are sent on while their body still comes in. A server begins once it has all of it.
 	Arriving bool
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -161,7 +161,7 @@
 func (s *Front) submit(r *http.Request, a ask, kept *body.Body) *host.Request {
 	message := newMessage(r, kept)
 	message.Written = func() { s.figures.Try(a.class) }
-	return s.instance.Submit(message, a.class, a.tenant, s.restart.Cap(a.left))
+	return s.instance.Submit(message, a.class, a.tenant, a.left, s.restart.Cap(a.left))
 }
 
 var outcomes = map[host.Verdict]figures.Outcome{
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,280 @@
+package handover
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"brasswell/balance"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func knowledge() *Knowledge {
+	return &Knowledge{
+		Balancer: balance.Carried{
+			Servers: []balance.CarriedServer{{Entry: balance.Entry{ID: "s1", Zone: 1, Boot: time.Hour}, Slow: 0.25, Ejections: 2}},
+			Slots:   []string{"s1"}, Banned: []string{"s1", "s9"}, Seen: []string{"s1", "s9"}, Limit: 40, Quota: []float64{1.5},
+			Classes: []balance.CarriedClass{{Cost: 0.01, TailSeen: 12, Patience: time.Second, Votes: 3}},
+		},
+		Addresses: map[string]string{"s1": "127.0.0.1:7070"}, Seq: 41, Open: []string{"a", "b"}, Callers: 12,
+		Longest: 2 * time.Second, Usual: 80 * time.Millisecond,
+	}
+}
+
+func TestMessagesGoThroughWhole(t *testing.T) {
+	for _, m := range []Message{
+		{Kind: Hello}, {Kind: Ready, Number: 7}, {Kind: Ban, Number: 1 << 40, Server: "s/1 é", Out: true},
+		{Kind: Done, Number: 3, Known: true}, {Kind: Snapshot, Snapshot: knowledge()},
+	} {
+		var b bytes.Buffer
+		if err := Write(&b, m); err != nil {
+			t.Fatal(err)
+		}
+		m.Version = version
+		got, err := Read(&b)
+		if err != nil || !reflect.DeepEqual(got, m) {
+			t.Errorf("%+v came as %+v, %v", m, got, err)
+		}
+	}
+}
+
+// TestDamagedMessagesAreToldFromSound flips each bit of a message, and cuts it at each place.
+func TestDamagedMessagesAreToldFromSound(t *testing.T) {
+	var b bytes.Buffer
+	if err := Write(&b, Message{Kind: Snapshot, Snapshot: knowledge()}); err != nil {
+		t.Fatal(err)
+	}
+	sound := b.Bytes()
+	for i := range sound {
+		if _, err := Read(bytes.NewReader(sound[:i])); err == nil {
+			t.Fatalf("cut after %d of %d bytes: taken", i, len(sound))
+		}
+		for bit := range 8 {
+			damaged := bytes.Clone(sound)
+			damaged[i] ^= 1 << bit
+			if _, err := Read(bytes.NewReader(damaged)); err == nil {
+				t.Fatalf("byte %d, bit %d flipped: taken", i, bit)
+			}
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	var b bytes.Buffer
+	Write(&b, Message{Kind: Snapshot, Snapshot: knowledge()})
+	f.Add(b.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m, err := Read(bytes.NewReader(text))
+		if err != nil {
+			return
+		}
+		var again bytes.Buffer
+		if err := Write(&again, m); err != nil {
+			t.Fatalf("%+v was read and cannot be written: %v", m, err)
+		}
+	})
+}
+
+// elder plays the running process at a socket: it answers the first connection with what reply writes.
+func elder(t *testing.T, dir string, reply func(net.Conn)) {
+	t.Helper()
+	l, err := Listen(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		reply(c)
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-done
+	})
+}
+
+// TestAnyTroubleIsAPlainStart meets running processes that are dead, silent, broken, of another version, or say
+// something else. Each must end as a start with nothing taken over, and within the time for it.
+func TestAnyTroubleIsAPlainStart(t *testing.T) {
+	other := func(kind Kind, version int) func(net.Conn) {
+		return func(c net.Conn) {
+			var b bytes.Buffer
+			Write(&b, Message{Kind: kind, Snapshot: knowledge()})
+			if version != 1 {
+				// The version is the first field: key 1, and a small number as itself.
+				text := b.Bytes()[headBytes:]
+				at := bytes.Index(text, []byte{1, 1})
+				text[at+1] = byte(version)
+				b2 := frame(text)
+				c.Write(b2)
+				return
+			}
+			c.Write(b.Bytes())
+		}
+	}
+	for name, reply := range map[string]func(net.Conn){
+		"closes at once":     func(c net.Conn) {},
+		"closes after hello": func(c net.Conn) { Read(c) },
+		"silent":             func(c net.Conn) { io.Copy(io.Discard, c) },
+		"half a message": func(c net.Conn) {
+			var b bytes.Buffer
+			Write(&b, Message{Kind: Snapshot, Snapshot: knowledge()})
+			c.Write(b.Bytes()[:b.Len()/2])
+		},
+		"a wrong checksum": func(c net.Conn) {
+			var b bytes.Buffer
+			Write(&b, Message{Kind: Snapshot, Snapshot: knowledge()})
+			b.Bytes()[5] ^= 1
+			c.Write(b.Bytes())
+		},
+		"endless":          func(c net.Conn) { c.Write([]byte{0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0}); io.Copy(io.Discard, c) },
+		"something else":   other(Ready, 1),
+		"an older version": other(Snapshot, 0),
+		"a newer version":  other(Snapshot, 2),
+		"no such language": func(c net.Conn) { io.WriteString(c, "HTTP/1.1 400 Bad Request\r\n\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			elder(t, dir, reply)
+			peer, k, err := Meet(dir, "n1")
+			if peer != nil || k != nil {
+				peer.Close()
+				t.Fatal("taken over")
+			}
+			if err == nil {
+				t.Error("nothing to log")
+			}
+		})
+	}
+}
+
+func frame(text []byte) []byte {
+	b := make([]byte, headBytes, headBytes+len(text))
+	binary.BigEndian.PutUint32(b, uint32(len(text)))
+	binary.BigEndian.PutUint32(b[4:], crc(text))
+	return append(b, text...)
+}
+
+func TestNobodyThereIsNoTrouble(t *testing.T) {
+	dir := t.TempDir()
+	if peer, _, err := Meet(dir, "n1"); peer != nil || err != nil {
+		t.Errorf("%v, %v", peer, err)
+	}
+	l, err := Listen(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close() // the socket's file stays, as after a kill
+	if _, err := os.Stat(filepath.Join(dir, "brasswell-n1.sock")); err != nil {
+		t.Fatal(err)
+	}
+	if peer, _, err := Meet(dir, "n1"); peer != nil || err != nil {
+		t.Errorf("at a socket left behind: %v, %v", peer, err)
+	}
+	if l, err = Listen(dir, "n1"); err != nil {
+		t.Fatalf("at a socket left behind: %v", err)
+	}
+	l.Close()
+}
+
+// TestTheLatestIsMet has a second process take the place of the first.
+func TestTheLatestIsMet(t *testing.T) {
+	dir := t.TempDir()
+	first, err := Listen(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	second := knowledge()
+	second.Seq = 99
+	elder(t, dir, func(c net.Conn) {
+		Read(c)
+		Write(c, Message{Kind: Snapshot, Snapshot: second})
+		io.Copy(io.Discard, c)
+	})
+	peer, k, err := Meet(dir, "n1")
+	if err != nil || k == nil || k.Seq != 99 {
+		t.Fatalf("%+v, %v", k, err)
+	}
+	peer.Close()
+}
+
+func pair(t *testing.T) (*Peer, *Peer) {
+	t.Helper()
+	a, b := net.Pipe()
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return NewPeer(a), NewPeer(b)
+}
+
+func TestAskIsAnsweredByItsOwnDone(t *testing.T) {
+	a, b := pair(t)
+	var following sync.WaitGroup
+	following.Go(func() { a.Follow(func(Message) {}) })
+	following.Go(func() {
+		b.Follow(func(m Message) { b.Tell(Message{Kind: Done, Number: m.Number, Known: m.Server == "s1"}) })
+	})
+	var asking sync.WaitGroup
+	for i := range 20 {
+		asking.Go(func() {
+			server := []string{"s1", "s2"}[i%2]
+			d, err := a.Ask(context.Background(), Message{Kind: Ban, Server: server})
+			if err != nil || d.Known != (server == "s1") {
+				t.Errorf("%s: %+v, %v", server, d, err)
+			}
+		})
+	}
+	asking.Wait()
+	a.Close()
+	b.Close()
+	following.Wait()
+	if len(a.waiting) != 0 {
+		t.Errorf("%d are still waited for", len(a.waiting))
+	}
+	if _, err := a.Ask(context.Background(), Message{Kind: Ban}); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("asked one that has gone: %v", err)
+	}
+}
+
+// TestAskEndsWithItsPeer has the other die, and fall silent, while it is asked.
+func TestAskEndsWithItsPeer(t *testing.T) {
+	a, b := pair(t)
+	var following sync.WaitGroup
+	following.Go(func() { a.Follow(func(Message) {}) })
+	following.Go(func() { b.Follow(func(Message) { b.Close() }) })
+	if _, err := a.Ask(context.Background(), Message{Kind: Ready}); err == nil {
+		t.Error("an answer from the dead")
+	}
+	following.Wait()
+
+	a, b = pair(t)
+	following.Go(func() { a.Follow(func(Message) {}) })
+	following.Go(func() { b.Follow(func(Message) {}) })
+	if _, err := a.Ask(context.Background(), Message{Kind: Ready}); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("of a silent one: %v", err)
+	}
+	a.Close()
+	b.Close()
+	following.Wait()
+}
+
+func crc(text []byte) uint32 { return crc32.Checksum(text, castagnoli) }
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -24,7 +24,9 @@
 type Peer struct {
 	conn net.Conn
 
-	mu      sync.Mutex // also orders writes
+	writing sync.Mutex // apart from mu: who reads must not wait for who writes, or two peers could wait for each other
+
+	mu      sync.Mutex
 	last    uint64
 	waiting map[uint64]chan Message // for the Done of this number
 	gone    bool
@@ -36,14 +38,14 @@
 }
 
 func (p *Peer) write(m Message) error {
+	p.writing.Lock()
+	defer p.writing.Unlock()
 	p.conn.SetWriteDeadline(time.Now().Add(writeTime))
 	return Write(p.conn, m)
 }
 
 // Tell sends a message that nobody answers.
 func (p *Peer) Tell(m Message) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	return p.write(m)
 }
 
@@ -58,14 +60,13 @@
 	p.last++
 	m.Number = p.last
 	p.waiting[m.Number] = done
-	err := p.write(m)
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.waiting, m.Number)
 	}()
-	if err != nil {
+	if err := p.write(m); err != nil {
 		return Message{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, doneTime)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -103,8 +103,9 @@
 func (i *Instance) now() time.Duration { return i.unix + time.Since(i.started) }
 
 // Submit hands a request to the balancer. Its clock starts here, when its last byte has been read, or with Received
-// if its body is a stream, which the caller fills. The ids are our own: callers may use theirs again, and the balancer takes a known id for one it already has.
-func (i *Instance) Submit(m *backends.Message, class, tenant int, left time.Duration) *Request {
+// if its body is a stream, which the caller fills. It has to be
+// over within so much time, where that is above 0. The ids are our own: callers may use theirs again, and the balancer takes a known id for one it already has.
+func (i *Instance) Submit(m *backends.Message, class, tenant int, left, within time.Duration) *Request {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.lastID++
@@ -116,7 +117,7 @@
 	i.requests[q.id] = q
 	q.arriving = m.Body.Stream() != nil
 	i.balancer.Submit(i.now(), balance.Request{
-		ID: q.id, Class: class, Tenant: tenant, Left: left, Arriving: q.arriving,
+		ID: q.id, Class: class, Tenant: tenant, Left: left, Within: within, Arriving: q.arriving,
 	})
 	i.tidy(q)
 	return q
--- a/internal/proxy/upgrade.go
+++ b/internal/proxy/upgrade.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -19,7 +20,7 @@
 // setPart makes a part of the proxy's limits this process's own.
 func (p *Proxy) setPart(part handover.Part) {
 	l := p.limits
-	share := func(part float64, of int) int { return max(int(part*float64(of)), 1) }
+	share := func(part float64, of int) int { return max(int(math.Round(part*float64(of))), 1) }
 	p.callers.SetLimits(share(part.Callers, l.soft), share(part.Callers, l.hard))
 	memory := max(part.Rest, leastPart)
 	p.backends.SetLimit(share(memory, l.backends))
--- a/internal/restart/restart.go
+++ b/internal/restart/restart.go
@@ -85,16 +85,17 @@
 
 func (l *Restart) end() time.Duration { return max(l.longestWait(), acceptMore) + killSlack }
 
-// Cap shortens a request's time so that its answer goes out before SIGKILL does.
+// Cap is how long a request with so much time may take, so that its answer goes out before SIGKILL does; 0 if nothing
+// bounds it.
 func (l *Restart) Cap(left time.Duration) time.Duration {
 	if begun := l.begun.Load(); begun != nil {
-		return min(left, l.end()-time.Since(*begun))
+		return max(l.end()-time.Since(*begun), time.Millisecond)
 	}
 	longest := time.Duration(l.longest.Load())
 	for left > longest && !l.longest.CompareAndSwap(int64(longest), int64(left)) {
 		longest = time.Duration(l.longest.Load())
 	}
-	return left
+	return 0
 }
 
 // Answered takes in how long a request that was served took.
