--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -15,12 +15,12 @@
 
 // Set tracks the callers' connections within their share of the sockets. Up to soft all are kept. Beyond,
 // each new one takes the place of one on which no request is open, and where there is none, requests are
-// refused; at hard, new connections are closed at once.
+// refused; at hard, new connections are closed at once. Every step costs the same however many there are.
 //
-// It guards against callers that connect and say nothing or keep what they no longer use, and should hold
-// against any pile of idle connections: a newcomer always gets in or gets a close, so the accept queue
-// never stands still. It would harm callers who pause for over silentGrace before a first request while so
-// many others do the same.
+// It guards against callers that connect and say nothing, say half of what they want, or keep what they no longer
+// use, and should hold against any pile of such connections: a newcomer always gets in or gets a close, so the accept
+// queue never stands still. It would harm callers who pause for over silentGrace before a first request, or for over
+// headGrace within a head, while so many others do the same.
 type Set struct {
 	soft, hard int
 
@@ -31,11 +31,29 @@
 	onceIdle time.Duration
 	open     map[*Conn]struct{}
 	active   int
+	waiting  [kinds]queue // connections on which no request is open, by what is known of them
 }
 
-// silentGrace is how long a connection may stay silent before it goes first when room is wanted. Callers connect
-// when they have something to send.
-const silentGrace = 100 * time.Millisecond
+// kind is what a connection on which no request is open is known for.
+type kind int
+
+const (
+	silent  kind = iota // has said nothing yet
+	once                // idles after a single request
+	idle                // idles after several
+	partial             // has begun a head, and not ended it
+	kinds
+	busy kind = -1 // has a request open
+)
+
+const (
+	// silentGrace is how long a connection may stay silent before it goes first when room is wanted. Callers connect
+	// when they have something to send.
+	silentGrace = 100 * time.Millisecond
+	// headGrace is how long a head may stand still before its connection goes when room is wanted and nothing idles.
+	// Who writes slowly and moves is kept.
+	headGrace = 500 * time.Millisecond
+)
 
 // Conn is one connection of a caller.
 type Conn struct {
@@ -44,12 +62,12 @@
 	framing framing.Follower // of what it sends; used by the one that reads
 
 	// Guarded by set.mu.
-	state http.ConnState
-	since time.Time
-	busy  bool // something has been read since the last answer
-	ended bool
-
-	requests int // begun so far
+	state        http.ConnState
+	kind         kind
+	since        time.Time // when it became so; of a partial head, when its last bytes came
+	older, newer *Conn     // in the queue of its kind
+	ended        bool
+	requests     int // begun so far
 }
 
 type connKey struct{}
@@ -74,48 +92,44 @@
 func (c *Set) admit(conn net.Conn) *Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for k := range c.open {
-		if k.state == http.StateIdle && !k.busy && k.requests <= 1 && time.Since(k.since) >= c.onceIdle {
-			c.end(k)
-		}
+	now := time.Now()
+	for k := c.waiting[once].front; k != nil && now.Sub(k.since) >= c.onceIdle; k = c.waiting[once].front {
+		c.end(k)
 	}
-	if len(c.open) >= c.soft && !c.makeRoom() && len(c.open) >= c.hard {
+	if len(c.open) >= c.soft && !c.makeRoom(now) && len(c.open) >= c.hard {
 		return nil
 	}
-	k := &Conn{Conn: conn, set: c, since: time.Now()}
+	k := &Conn{Conn: conn, set: c, kind: busy}
 	c.open[k] = struct{}{}
+	c.become(k, silent, now)
 	return k
 }
 
 // makeRoom ends the connection that is missed least: the one that has been silent longest from the start, or
-// else has idled longest, of those that have carried a single request if there are any.
-func (c *Set) makeRoom() bool {
-	var silent, once, idle *Conn
-	for k := range c.open {
-		switch {
-		case k.busy:
-		case k.state == http.StateNew && (silent == nil || k.since.Before(silent.since)):
-			silent = k
-		case k.state != http.StateIdle:
-		case k.requests <= 1:
-			if once == nil || k.since.Before(once.since) {
-				once = k
-			}
-		case idle == nil || k.since.Before(idle.since):
-			idle = k
+// else has idled longest, of those that have carried a single request if there are any, or else the head that has stood
+// still longest.
+func (c *Set) makeRoom(now time.Time) bool {
+	for _, q := range []struct {
+		kind  kind
+		grace time.Duration
+	}{{silent, silentGrace}, {once, 0}, {idle, 0}, {partial, headGrace}} {
+		if k := c.waiting[q.kind].front; k != nil && now.Sub(k.since) >= q.grace {
+			c.end(k)
+			return true
 		}
 	}
-	switch {
-	case silent != nil && time.Since(silent.since) >= silentGrace:
-		c.end(silent)
-	case once != nil:
-		c.end(once)
-	case idle != nil:
-		c.end(idle)
-	default:
-		return false
+	return false
+}
+
+// become moves a connection to the end of the queue of its new kind; c.mu must be held.
+func (c *Set) become(k *Conn, to kind, now time.Time) {
+	if k.kind != busy {
+		c.waiting[k.kind].remove(k)
+	}
+	k.kind, k.since = to, now
+	if to != busy {
+		c.waiting[to].push(k)
 	}
-	return true
 }
 
 // end closes a connection on which no request is open; c.mu must be held. What the caller may have sent
@@ -129,6 +143,7 @@
 func (c *Set) forget(k *Conn) {
 	if _, open := c.open[k]; open {
 		delete(c.open, k)
+		c.become(k, busy, k.since)
 		if k.state == http.StateActive {
 			c.active--
 		}
@@ -150,11 +165,21 @@
 	if k.state == http.StateActive {
 		c.active--
 	}
-	if state == http.StateActive {
+	k.state = state
+	now := time.Now()
+	switch {
+	case state == http.StateActive:
 		c.active++
 		k.requests++
+		c.become(k, busy, now)
+	case state != http.StateIdle:
+	case !k.framing.Between():
+		c.become(k, partial, now) // the next request has begun behind the last
+	case k.requests <= 1:
+		c.become(k, once, now)
+	default:
+		c.become(k, idle, now)
 	}
-	k.state, k.since, k.busy = state, time.Now(), state == http.StateActive
 }
 
 // Crowded says whether there are more open requests than sockets for them.
@@ -165,21 +190,21 @@
 }
 
 // CloseQuiet closes the connections on which no request has begun for so long, and counts the others.
-func (c *Set) CloseQuiet(quiet time.Duration) (busy int) {
+func (c *Set) CloseQuiet(quiet time.Duration) (others int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k := range c.open {
-		if !k.busy && time.Since(k.since) >= quiet {
+		if k.kind != busy && k.kind != partial && time.Since(k.since) >= quiet {
 			c.end(k)
 		} else {
-			busy++
+			others++
 		}
 	}
-	return busy
+	return others
 }
 
-// Read marks the connection as busy with the first byte that is read, not only when net/http has a whole head:
-// a request that has been read must not be taken for one that the caller may send again.
+// Read notes the first byte that is read, not only the whole head that net/http tells of: a request that has been read
+// must not be taken for one that the caller may send again.
 func (k *Conn) Read(b []byte) (int, error) {
 	n, err := k.Conn.Read(b)
 	if n == 0 {
@@ -187,7 +212,9 @@
 	}
 	k.set.mu.Lock()
 	ended := k.ended
-	k.busy = true
+	if !ended && k.kind != busy {
+		k.set.become(k, partial, time.Now())
+	}
 	k.set.mu.Unlock()
 	if ended {
 		return 0, net.ErrClosed
@@ -288,3 +315,31 @@
 	defer c.mu.Unlock()
 	c.onceIdle = d
 }
+
+// queue holds the connections of one kind in the order in which they became so. It runs through the connections
+// themselves, so that every change costs the same however many there are.
+type queue struct{ front, back *Conn }
+
+func (q *queue) push(k *Conn) {
+	k.older, k.newer = q.back, nil
+	if q.back == nil {
+		q.front = k
+	} else {
+		q.back.newer = k
+	}
+	q.back = k
+}
+
+func (q *queue) remove(k *Conn) {
+	if k.older == nil {
+		q.front = k.newer
+	} else {
+		k.older.newer = k.newer
+	}
+	if k.newer == nil {
+		q.back = k.older
+	} else {
+		k.newer.older = k.older
+	}
+	k.older, k.newer = nil, nil
+}
--- /dev/null
+++ b/internal/callers/callers_test.go
@@ -0,0 +1,169 @@
+package callers
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// dead is a connection that only notes whether it is closed.
+type dead struct {
+	net.Conn
+	closed bool
+}
+
+func (d *dead) Close() error { d.closed = true; return nil }
+
+func (d *dead) Read(p []byte) (int, error) { return copy(p, "G"), nil }
+
+// longAgo makes a connection's last change lie so far back.
+func (k *Conn) longAgo(d time.Duration) { k.since = k.since.Add(-d) }
+
+func admit(t *testing.T, s *Set) (*Conn, *dead) {
+	t.Helper()
+	d := &dead{}
+	k := s.admit(d)
+	if k == nil {
+		t.Fatal("not admitted")
+	}
+	return k, d
+}
+
+// request takes a connection through one whole request.
+func request(s *Set, k *Conn) {
+	k.framing.Feed([]byte("GET / HTTP/1.1\r\n\r\n"))
+	s.Track(k, http.StateActive)
+	s.Track(k, http.StateIdle)
+}
+
+// TestWhoGoesFirst fills a set with one connection of each kind, and has newcomers take their places one by one.
+func TestWhoGoesFirst(t *testing.T) {
+	s := NewSet(6, 8, time.Hour)
+	active, a := admit(t, s)
+	s.Track(active, http.StateActive)
+	stuck, st := admit(t, s)
+	stuck.Read(make([]byte, 1))
+	stuck.longAgo(time.Minute)
+	moving, mo := admit(t, s)
+	moving.Read(make([]byte, 1))
+	often, of := admit(t, s)
+	request(s, often)
+	request(s, often)
+	once, on := admit(t, s)
+	request(s, once)
+	quiet, qu := admit(t, s)
+	quiet.longAgo(time.Minute)
+	for i, want := range []*dead{qu, on, of, st} {
+		k, _ := admit(t, s)
+		s.Track(k, http.StateActive) // so that it does not go itself
+		if !want.closed {
+			t.Fatalf("newcomer %d: %v %v %v %v are closed", i, qu.closed, on.closed, of.closed, st.closed)
+		}
+	}
+	for range 2 { // up to hard
+		k, _ := admit(t, s)
+		s.Track(k, http.StateActive)
+	}
+	if s.admit(&dead{}) != nil {
+		t.Error("admitted over the hard limit")
+	}
+	if a.closed || mo.closed {
+		t.Error("one with a request open, or whose head moves, was closed")
+	}
+	if !s.Crowded() {
+		t.Error("more requests than places, and not crowded")
+	}
+}
+
+// TestOldestOfItsKindGoes admits many of a kind; they go in the order of their last change.
+func TestOldestOfItsKindGoes(t *testing.T) {
+	const n = 50
+	s := NewSet(n, n, time.Hour)
+	var all []*dead
+	var conns []*Conn
+	for range n {
+		k, d := admit(t, s)
+		k.longAgo(time.Minute)
+		all, conns = append(all, d), append(conns, k)
+	}
+	request(s, conns[0]) // not silent any more
+	for i := 1; i < n; i++ {
+		k, _ := admit(t, s)
+		s.Track(k, http.StateActive)
+		for j, d := range all {
+			if d.closed != (j >= 1 && j <= i) {
+				t.Fatalf("after %d newcomers: number %d closed %t", i, j, d.closed)
+			}
+		}
+	}
+}
+
+func TestOnceIdleEndsWhenOthersCome(t *testing.T) {
+	s := NewSet(100, 100, time.Second)
+	var old []*dead
+	for range 5 {
+		k, d := admit(t, s)
+		request(s, k)
+		k.longAgo(2 * time.Second)
+		old = append(old, d)
+	}
+	young, y := admit(t, s)
+	request(s, young)
+	admit(t, s)
+	for i, d := range old {
+		if !d.closed {
+			t.Errorf("%d stays", i)
+		}
+	}
+	if y.closed || s.Len() != 2 {
+		t.Errorf("%d are left", s.Len())
+	}
+}
+
+// TestPipelinedRequestIsNotIdle has the next request's first bytes come with the last one's: an end there would lose it.
+func TestPipelinedRequestIsNotIdle(t *testing.T) {
+	s := NewSet(2, 2, time.Hour)
+	k, d := admit(t, s)
+	k.framing.Feed([]byte("GET / HTTP/1.1\r\n\r\nGET /next"))
+	s.Track(k, http.StateActive)
+	s.Track(k, http.StateIdle)
+	if left := s.CloseQuiet(0); left != 1 || d.closed {
+		t.Error("closed with a request behind the last")
+	}
+}
+
+func TestEndedConnectionReadsNothing(t *testing.T) {
+	s := NewSet(1, 1, time.Hour)
+	k, _ := admit(t, s)
+	k.longAgo(time.Minute)
+	admit(t, s)
+	if n, err := k.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+	s.Track(k, http.StateClosed) // as net/http does afterwards
+	if s.Len() != 1 {
+		t.Errorf("%d open", s.Len())
+	}
+}
+
+// BenchmarkAdmit has each newcomer take the place of another among so many that do nothing.
+func BenchmarkAdmit(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := NewSet(n, n, time.Hour)
+			for range n {
+				k := s.admit(&dead{})
+				request(s, k)
+				request(s, k)
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				k := s.admit(&dead{})
+				request(s, k)
+				request(s, k)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/cli/ctl.go
@@ -0,0 +1,105 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// ctlTime bounds a call to a console, which owes its answer within 1 s.
+const ctlTime = 2 * time.Second
+
+// maxAnswer bounds what is read of a console's answer.
+const maxAnswer = 4 << 20
+
+func (e *env) ctlVerb() *cobra.Command {
+	var console string
+	c := &cobra.Command{
+		Use:   "ctl",
+		Short: "Ask a running proxy, and take backends out or put them back by hand",
+		Long: "Calls the console of a running proxy (RELAY_CONSOLE, or --console). Exits with 1 if the proxy says no, and 2 if\n" +
+			"there is no answer.",
+		Example: "  brasswell ctl ready --console 127.0.0.1:9800\n  brasswell ctl suspend node-03 --console 127.0.0.1:9800",
+		Args:    cobra.NoArgs,
+	}
+	c.PersistentFlags().StringVar(&console, "console", "", "the console's address; RELAY_CONSOLE if it is not given")
+	verb := func(use, short string, args int, method string, path func(args []string) string, show func(text string) any) {
+		c.AddCommand(&cobra.Command{
+			Use: use, Short: short, Args: cobra.ExactArgs(args),
+			Example: "  brasswell ctl " + strings.Replace(use, "ID", "node-03", 1) + " --console 127.0.0.1:9800",
+			RunE: func(c *cobra.Command, args []string) error {
+				if err := oneOf("format", e.format, "text", "json"); err != nil {
+					return err
+				}
+				return e.ctl(c.Context(), console, method, path(args), show)
+			},
+		})
+	}
+	backend := func(act string) func([]string) string {
+		return func(args []string) string { return "/v1/backends/" + url.PathEscape(args[0]) + "/" + act }
+	}
+	said := func(text string) any { return map[string]string{"answer": strings.TrimSpace(text)} }
+	verb("ready", "Whether it takes clients", 0, http.MethodGet, func([]string) string { return "/v1/readyz" }, said)
+	verb("figures", "The figures: requests by outcome and class, what is open, what is avoided", 0, http.MethodGet,
+		func([]string) string { return "/v1/metrics" }, readFigures)
+	verb("suspend ID", "Take a backend out: nothing new goes there until it is put back", 1, http.MethodPost, backend("suspend"), said)
+	verb("resume ID", "Put a backend back; it is eased in like one that has just started", 1, http.MethodPost, backend("resume"), said)
+	return c
+}
+
+// ctl makes one call and prints its answer.
+func (e *env) ctl(ctx context.Context, console, method, path string, show func(string) any) error {
+	if console == "" {
+		console = e.getenv("RELAY_CONSOLE")
+	}
+	if console == "" {
+		return errors.New("no console: set RELAY_CONSOLE, or --console ADDRESS")
+	}
+	ctx, cancel := context.WithTimeout(ctx, ctlTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+console+path, nil)
+	if err != nil {
+		return fmt.Errorf("--console %s: %w", console, err)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("no answer from the console: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("no whole answer from the console: %w", err)
+	}
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return answerNo{fmt.Errorf("the proxy says no (%d): %s", resp.StatusCode, strings.TrimSpace(string(text)))}
+	}
+	if e.format == "json" {
+		return json.NewEncoder(e.out).Encode(show(string(text)))
+	}
+	fmt.Fprintln(e.out, strings.TrimSpace(string(text)))
+	return nil
+}
+
+// readFigures makes a map of figures in statsd's form; lines that have another one are left out.
+func readFigures(text string) any {
+	figures := map[string]int64{}
+	for s := bufio.NewScanner(strings.NewReader(text)); s.Scan(); {
+		name, rest, _ := strings.Cut(s.Text(), ":")
+		value, _, _ := strings.Cut(rest, "|")
+		if n, err := strconv.ParseInt(value, 10, 64); err == nil {
+			figures[name] = n
+		}
+	}
+	return figures
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -103,3 +103,7 @@
 
 // Chunked says whether the message with which it stopped is framed by chunks and no length.
 func (f *Follower) Chunked() bool { return f.chunked }
+
+// Between says whether nothing of a further message has come behind the last. Of messages that it does not follow it
+// cannot be told, and then this is false.
+func (f *Follower) Between() bool { return !f.start && f.filled == 0 && f.skip == 0 && !f.lost }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -149,13 +149,11 @@
 	address  string
 }
 
-// newRig starts a proxy that knows the given hosts, with settings that change may alter.
-func newRig(t *testing.T, change func(*Config), hosts ...string) *rig {
-	t.Helper()
-	g := newRegistry(t)
-	c := Config{
-		Listen: "127.0.0.1:0", Discovery: g.address, Seed: 1, Memory: 64 << 20, Sockets: 256,
-		Known: json.RawMessage(list(1, true, hosts...)), Log: slog.New(slog.DiscardHandler), Options: DefaultOptions(),
+// rigConfig is a configuration for tests.
+func rigConfig(discovery string, known json.RawMessage) Config {
+	return Config{
+		Listen: "127.0.0.1:0", Discovery: discovery, Seed: 1, Memory: 64 << 20, Sockets: 256,
+		Known: known, Log: slog.New(slog.DiscardHandler), Options: DefaultOptions(),
 		Settings: &settings.Settings{
 			Balancer: balance.Settings{
 				Instances: 1, MaxAttempts: 3, CanCancel: true,
@@ -172,6 +170,13 @@
 			ConnIdle: 10 * time.Second, ConnectTimeout: 5 * time.Second,
 		},
 	}
+}
+
+// newRig starts a proxy that knows the given hosts, with settings that change may alter.
+func newRig(t *testing.T, change func(*Config), hosts ...string) *rig {
+	t.Helper()
+	g := newRegistry(t)
+	c := rigConfig(g.address, json.RawMessage(list(1, true, hosts...)))
 	if change != nil {
 		change(&c)
 	}
