--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,10 +33,9 @@
 	attempts []attempt
 	out      int
 	answered bool
-	started  bool // its answer streams: it belongs to the client
-	arriving bool // its body still comes in
-	spent    bool // its body is no longer whole here
-	since    time.Duration
+	started  bool          // its answer streams: it belongs to the client
+	spent    bool          // its body is no longer whole here
+	since    time.Duration // when it was submitted
 	held     bool
 	worth    float64
 	timers   []uint64  // set for it alone
@@ -106,7 +105,7 @@
 		return
 	}
 	c := &b.set.Classes[r.Class]
-	q := &request{Request: r, class: c, end: now + r.Left, arriving: r.Arriving, since: now}
+	q := &request{Request: r, class: c, end: now + r.Left, since: now}
 	if r.Within > 0 {
 		q.end = min(q.end, now+r.Within)
 	}
@@ -120,7 +119,7 @@
 	}
 	q.worth = c.Worth * b.tenantWorth(now, r.Tenant)
 	b.retries = min(b.retries+retryRatio, retryBurst)
-	if !q.arriving {
+	if !q.Arriving {
 		b.afterFor(q, q.end-now, func(now time.Duration) { b.giveUp(now, q) })
 	}
 	b.hold(q)
@@ -146,11 +145,11 @@
 	s.trial = s.ejected > 0
 	b.spendCold(now, s)
 	left := q.end - now
-	if q.arriving {
+	if q.Arriving {
 		left = q.end - q.since
 	}
 	b.host.Send(q.ID, s.id, left)
-	if !q.arriving {
+	if !q.Arriving {
 		b.count(now, q, len(q.attempts)-1)
 	}
 }
@@ -273,10 +272,10 @@
 // so does that of its server, which has not begun before.
 func (b *Balancer) Received(now time.Duration, id string) {
 	q := b.requests[id]
-	if q == nil || !q.arriving {
+	if q == nil || !q.Arriving {
 		return
 	}
-	q.arriving = false
+	q.Arriving = false
 	q.end += now - q.since
 	b.afterFor(q, q.end-now, func(now time.Duration) { b.giveUp(now, q) })
 	for i := range q.attempts {
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -65,7 +65,7 @@
 }
 
 // late says whether a request's time is over; that of one which is still arriving has not begun.
-func (q *request) late(now time.Duration) bool { return now >= q.end && !q.arriving }
+func (q *request) late(now time.Duration) bool { return now >= q.end && !q.Arriving }
 
 // tryLater follows an attempt that was never sent because this instance was short of something, sockets
 // mostly. It says nothing about the server and spends no retry; at once it would only fail again.
--- a/bench/daily_test.go
+++ b/bench/daily_test.go
@@ -11,8 +11,6 @@
 	"net/http/httputil"
 	"net/url"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -29,8 +27,8 @@
 	halfCalls = flag.Int("half-calls", 100, "how many half calls stand meanwhile")
 )
 
-// plainSite is a site whose one backend is handler, with the console at console.
-func plainSite(t *testing.T, handler http.Handler, memoryMB int) (s *site, address string) {
+// plainSite is a site whose one backend is handler; it returns where callers connect, and where the backend listens.
+func plainSite(t *testing.T, handler http.Handler, memoryMB int) (s *site, address, backendAddress string) {
 	t.Helper()
 	backend, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -62,22 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s = &site{t: t, binary: filepath.Join(t.TempDir(), "brasswell"), config: filepath.Join(t.TempDir(), "config.json")}
-	if out, err := exec.Command("go", "build", "-trimpath", "-o", s.binary, "../cmd/brasswell").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
-	if err := os.WriteFile(s.config, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if s.folder, err = os.MkdirTemp("", "up"); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { os.RemoveAll(s.folder) })
-	if s.listener, err = l.(*net.TCPListener).File(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { s.listener.Close() })
-	return s, l.Addr().String()
+	return newSite(t, text, l), l.Addr().String(), backend.Addr().String()
 }
 
 // peak is the most memory that a process has held, in MB.
@@ -110,19 +93,13 @@
 		w.Header().Set("Content-Length", strconv.Itoa(size))
 		w.Write(text)
 	})
-	s, address := plainSite(t, handler, 64)
+	s, address, backend := plainSite(t, handler, 64)
 	n := s.start()
-	backend := regexp.MustCompile(`"dial":"([^"]+)"`)
-	config, err := os.ReadFile(s.config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	target := &url.URL{Scheme: "http", Host: string(backend.FindSubmatch(config)[1])}
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: httputil.NewSingleHostReverseProxy(target)}
+	server := &http.Server{Handler: httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: backend})}
 	go server.Serve(plain)
 	defer server.Close()
 	for name, to := range map[string]string{"reverseproxy": plain.Addr().String(), "brasswell": address} {
@@ -169,7 +146,7 @@
 //
 //	go test ./bench -run ConsoleUnder -v -calls 10000 -half-calls 2000
 func TestConsoleUnderSaturation(t *testing.T) {
-	s, address := plainSite(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") }), 64)
+	s, address, _ := plainSite(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") }), 64)
 	n := s.start()
 	stop := make(chan struct{})
 	var all sync.WaitGroup
--- a/bench/start_test.go
+++ b/bench/start_test.go
@@ -24,10 +24,7 @@
 func BenchmarkStart(b *testing.B) {
 	binary := os.Getenv("BRASSWELL_BENCH_BINARY")
 	if binary == "" {
-		binary = filepath.Join(b.TempDir(), "brasswell")
-		if out, err := exec.Command("go", "build", "-trimpath", "-o", binary, "../cmd/brasswell").CombinedOutput(); err != nil {
-			b.Fatalf("%v: %s", err, out)
-		}
+		binary = build(b)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/bench/upgrade_test.go
+++ b/bench/upgrade_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -37,19 +38,24 @@
 	listener *os.File
 }
 
-func newSite(t *testing.T, f *standin.Fleet, l net.Listener) *site {
+// build builds the program.
+func build(tb testing.TB) (binary string) {
+	tb.Helper()
+	binary = filepath.Join(tb.TempDir(), "brasswell")
+	if out, err := exec.Command("go", "build", "-trimpath", "-o", binary, "../cmd/brasswell").CombinedOutput(); err != nil {
+		tb.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
+// newSite returns a site with the platform's file, at a listening socket.
+func newSite(t *testing.T, config []byte, l net.Listener) *site {
 	t.Helper()
-	s := &site{t: t, binary: filepath.Join(t.TempDir(), "brasswell"), config: filepath.Join(t.TempDir(), "config.json")}
-	if out, err := exec.Command("go", "build", "-trimpath", "-o", s.binary, "../cmd/brasswell").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
-	text, err := f.Config(64, 1024)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(s.config, text, 0o600); err != nil {
+	s := &site{t: t, binary: build(t), config: filepath.Join(t.TempDir(), "config.json")}
+	if err := os.WriteFile(s.config, config, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	var err error
 	if s.folder, err = os.MkdirTemp("", "up"); err != nil {
 		t.Fatal(err)
 	}
@@ -139,15 +145,16 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	s := newSite(t, f, l)
+	config, err := f.Config(64, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSite(t, config, l)
 	now := s.start()
 	callers := f.Callers(l.Addr().String())
 	ctx, stop := context.WithCancel(context.Background())
-	played := make(chan error, 1)
-	go func() {
-		callers.Run(ctx, standin.Load{Rate: 300, Slack: rules.AnswerSlack})
-		played <- nil
-	}()
+	var playing sync.WaitGroup
+	playing.Go(func() { callers.Run(ctx, standin.Load{Rate: 300, Slack: rules.AnswerSlack}) })
 	dice := rand.New(rand.NewPCG(1, 1))
 	out := ""
 	for i := range *upgrades {
@@ -173,7 +180,7 @@
 		}
 	}
 	stop()
-	<-played
+	playing.Wait()
 	if err := now.end(); err != nil {
 		t.Error(err)
 	}
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -14,6 +14,7 @@
 
 	"brasswell/internal/body"
 	"brasswell/internal/framing"
+	"brasswell/internal/linked"
 )
 
 // conn is one connection to a backend. The socket is wrapped to see what net/http does not tell: whether the
@@ -28,7 +29,8 @@
 	last  atomic.Bool // the next write may hold the request's last byte
 	wrote atomic.Bool // a write of this attempt has begun
 	began atomic.Bool // the write with the request's last byte has begun
-	whole func()      // called once that write is over, then nil; used by the one that writes
+	class int         // of the request
+	whole bool        // that write is over, and has been told of; used by the one that writes
 	// streams says that a message is passed on while it comes: each read and write may wait for silence, and the
 	// rest of an answer is not timed beyond that.
 	streams   atomic.Bool
@@ -47,13 +49,13 @@
 	restEnd  time.Time   // by when the answer must have ended; zero while none has begun
 	closed   bool
 
-	older, newer *conn // in its idleList
+	linked.Links[conn] // in its idleList
 }
 
 func (c *conn) roundTrip(ctx context.Context, m *Message, left time.Duration) (*http.Response, error) {
 	header := maps.Clone(m.Header)
 	header.Set("X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	c.whole = m.Written
+	c.class = m.Class
 	req := &http.Request{Method: m.Method, URL: m.target(c.endpoint.Address), Host: m.Host, Header: header, Body: http.NoBody}
 	if s := m.Body.Stream(); s != nil {
 		c.stream()
@@ -89,9 +91,11 @@
 		c.Conn.SetWriteDeadline(time.Now().Add(c.silence))
 	}
 	n, err := c.Conn.Write(b)
-	if last && err == nil && c.whole != nil {
-		c.whole()
-		c.whole = nil
+	if last && err == nil && !c.whole {
+		c.whole = true
+		if told := c.pool.written; told != nil {
+			told(c.class)
+		}
 	}
 	return n, err
 }
@@ -212,8 +216,13 @@
 	return c.Conn.Close()
 }
 
-// settle makes a connection that has been idle ready for its next request.
-func (c *conn) settle() {
+// renew makes a connection that has been idle ready for its next request.
+func (c *conn) renew() {
+	c.framing = framing.Follower{}
+	c.wrote.Store(false)
+	c.last.Store(false)
+	c.began.Store(false)
+	c.whole = false
 	if c.streams.Swap(false) {
 		c.answering.Store(false)
 		c.Conn.SetDeadline(time.Time{})
--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -60,13 +59,13 @@
 // Close ends the attempt: nil for an answer read to its end, ErrLeft, or what Read returned.
 func (r *Rest) Close(err error) { r.ended <- err }
 
-// Hooks are what an attempt asks and tells on its way. They are called from Exchange's goroutine.
-type Hooks struct {
+// Attempt is what is asked and told on the way of one attempt, from Exchange's goroutine.
+type Attempt interface {
 	// Begin is asked right before the request is written, and says how long the proxy will wait and whether
 	// it still wants to.
-	Begin func() (time.Duration, bool)
+	Begin() (time.Duration, bool)
 	// Started is told of an answer that is to be passed on while it comes, and says whether somebody takes it.
-	Started func(*Reply) bool
+	Started(*Reply) bool
 }
 
 // Endpoint is one run of one server. A server that restarts or comes anew at the address of one that has gone
@@ -78,7 +77,7 @@
 
 // Exchange carries one attempt out and says how it ended. The reply is a whole answer; one that streams goes to
 // Started, and Exchange returns once it has ended.
-func (p *Pool) Exchange(ctx context.Context, to Endpoint, m *Message, hooks Hooks) (balance.Outcome, *Reply) {
+func (p *Pool) Exchange(ctx context.Context, to Endpoint, m *Message, a Attempt) (balance.Outcome, *Reply) {
 	for {
 		c, reused, err := p.get(ctx, to)
 		if err != nil {
@@ -88,14 +87,14 @@
 			}
 			return outcome, nil
 		}
-		left, wanted := hooks.Begin()
+		left, wanted := a.Begin()
 		if !wanted {
 			p.release(c)
 			return balance.Ignored, nil
 		}
 		resp, err := c.roundTrip(ctx, m, left)
 		if err == nil {
-			return p.receive(ctx, c, resp, hooks)
+			return p.receive(ctx, c, resp, a)
 		}
 		c.discard()
 		if reused && !c.began.Load() && ctx.Err() == nil {
@@ -112,7 +111,7 @@
 }
 
 // receive reads the answer whose head has come.
-func (p *Pool) receive(ctx context.Context, c *conn, resp *http.Response, hooks Hooks) (balance.Outcome, *Reply) {
+func (p *Pool) receive(ctx context.Context, c *conn, resp *http.Response, a Attempt) (balance.Outcome, *Reply) {
 	c.watchRest()
 	if resp.StatusCode != http.StatusOK {
 		outcome := balance.Failed
@@ -137,7 +136,7 @@
 	c.stream()
 	c.answering.Store(true)
 	rest := &Rest{from: &limited{resp.Body, body.MaxBytes - int64(len(text))}, ended: make(chan error, 1)}
-	if !hooks.Started(&Reply{Header: resp.Header, Body: text, Length: resp.ContentLength, Rest: rest}) {
+	if !a.Started(&Reply{Header: resp.Header, Body: text, Length: resp.ContentLength, Rest: rest}) {
 		c.discard()
 		return c.brokenOutcome(ctx), nil
 	}
@@ -196,21 +195,11 @@
 		return text, true, err
 	}
 	begun := time.Now()
-	text = make([]byte, 0, firstBytes)
-	for len(text) <= body.WholeBytes && time.Since(begun) < streamAfter {
-		if len(text) == cap(text) {
-			text = slices.Grow(text, len(text))
-		}
-		n, err := resp.Body.Read(text[len(text):cap(text)])
-		text = text[:len(text)+n]
-		if err == io.EOF {
-			return text, true, nil
-		}
-		if err != nil {
-			return nil, false, fmt.Errorf("answer: %w", err)
-		}
+	text, whole, err = body.ReadAtMost(resp.Body, body.WholeBytes, func() bool { return time.Since(begun) < streamAfter })
+	if err != nil {
+		return nil, false, fmt.Errorf("answer: %w", err)
 	}
-	return text, false, nil
+	return text, whole, nil
 }
 
 // firstBytes of a long answer are read before anything of it is passed on.
--- a/internal/backends/idle_test.go
+++ b/internal/backends/idle_test.go
@@ -20,11 +20,11 @@
 			switch k := dice.IntN(3); {
 			case k < 2 && len(plain) < 40:
 				c := &conn{parkedAt: now}
-				l.push(c)
+				l.Push(c)
 				plain = append(plain, c)
 			case len(plain) > 0:
 				i := dice.IntN(len(plain))
-				l.remove(plain[i])
+				l.Remove(plain[i])
 				plain = slices.Delete(plain, i, i+1)
 			}
 			var want *conn
@@ -38,10 +38,10 @@
 					t.Fatalf("seed %d: the last settled is %p, want %p", seed, got, want)
 				}
 			}
-			if got := slices.Collect(l.all()); !slices.Equal(got, plain) {
+			if got := slices.Collect(l.All()); !slices.Equal(got, plain) {
 				t.Fatalf("seed %d: holds %d, want %d", seed, len(got), len(plain))
 			}
-			if (l.front == nil) != (len(plain) == 0) || l.front != nil && (l.front != plain[0] || l.back != plain[len(plain)-1]) {
+			if (l.Front() == nil) != (len(plain) == 0) || l.Front() != nil && (l.Front() != plain[0] || l.Back() != plain[len(plain)-1]) {
 				t.Fatalf("seed %d: ends do not fit", seed)
 			}
 		}
--- a/internal/backends/message.go
+++ b/internal/backends/message.go
@@ -9,10 +9,9 @@
 
 // Message is what a request's attempts carry to backends. Attempts share it, so it is never written to.
 type Message struct {
+	Class             int
 	Method, URI, Host string
 	URL               *url.URL
 	Header            http.Header
 	Body              *body.Body // a stream's readers follow one another, one for each attempt
-	// Written is called once for each attempt that has been written whole; it must not block.
-	Written func()
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -9,8 +9,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"brasswell/internal/framing"
 )
 
 // Pool holds the connections to all backends. Its size is bounded by limit, and an idle connection's life by
@@ -24,6 +22,7 @@
 	connectTimeout time.Duration
 	idleFor        time.Duration
 	limit          int
+	written        func(class int) // may be nil
 
 	mu      sync.Mutex
 	options Options
@@ -33,13 +32,15 @@
 	wanted  map[Endpoint]bool      // whose connections are kept
 }
 
-// Limits is what a pool is told. All of it must be above 0, but Control may be nil.
+// Limits is what a pool is told. All of it must be above 0, but the functions may be nil.
 type Limits struct {
 	Conns          int           // open at one time, to all backends
 	ConnectTimeout time.Duration // a connection not up by then counts as failed
 	ConnIdle       time.Duration // a backend closes a connection that idles for so long
 	// Control is called for each socket before it connects, as net.Dialer has it.
 	Control func(network, address string, c syscall.RawConn) error
+	// Written is called with the request's class once for each attempt that has been written whole. It must not block.
+	Written func(class int)
 	Options Options
 }
 
@@ -51,7 +52,7 @@
 		// A request that crosses the backend's close ends as a reset, and may have run for all we know.
 		// The fifth left is for answers that took their time to be read.
 		idleFor: l.ConnIdle * 4 / 5,
-		limit:   l.Conns, options: l.Options,
+		limit:   l.Conns, options: l.Options, written: l.Written,
 		idle: map[Endpoint]*idleList{},
 	}
 	p.transport = &http.Transport{
@@ -89,11 +90,7 @@
 			dead = append(dead, k)
 			continue
 		}
-		k.framing = framing.Follower{}
-		k.wrote.Store(false)
-		k.last.Store(false)
-		k.began.Store(false)
-		k.settle()
+		k.renew()
 		c = k
 	}
 	if c == nil && p.open-len(dead) >= p.limit {
@@ -165,7 +162,7 @@
 	var drop []*conn
 	for to, idle := range p.idle {
 		if !wanted[to] {
-			drop = slices.AppendSeq(drop, idle.all())
+			drop = slices.AppendSeq(drop, idle.All())
 		}
 	}
 	p.drop(drop)
@@ -176,7 +173,7 @@
 	p.mu.Lock()
 	var all []*conn
 	if idle := p.idle[to]; idle != nil {
-		all = slices.Collect(idle.all())
+		all = slices.Collect(idle.All())
 	}
 	p.drop(all)
 }
@@ -203,7 +200,7 @@
 		idle = &idleList{}
 		p.idle[c.endpoint] = idle
 	}
-	idle.push(c)
+	idle.Push(c)
 	if !c.retiring {
 		c.retiring = true
 		c.retire.Reset(p.idleFor)
@@ -234,7 +231,7 @@
 func (p *Pool) unpark(c *conn) {
 	c.parked = false
 	idle := p.idle[c.endpoint]
-	if idle.remove(c); idle.front == nil {
+	if idle.Remove(c); idle.Front() == nil {
 		delete(p.idle, c.endpoint)
 	}
 }
@@ -242,7 +239,7 @@
 func (p *Pool) oldestIdle() *conn {
 	var oldest *conn
 	for _, idle := range p.idle {
-		if c := idle.front; oldest == nil || c.parkedAt.Before(oldest.parkedAt) {
+		if c := idle.Front(); oldest == nil || c.parkedAt.Before(oldest.parkedAt) {
 			oldest = c
 		}
 	}
@@ -269,7 +266,7 @@
 	p.closed = true
 	var idle []*conn
 	for _, conns := range p.idle {
-		idle = slices.AppendSeq(idle, conns.all())
+		idle = slices.AppendSeq(idle, conns.All())
 	}
 	p.drop(idle)
 }
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -95,7 +95,7 @@
 	if !budget.take(most) {
 		return nil, nil, ErrNoRoom
 	}
-	data, whole, err := readWhole(r, most)
+	data, whole, err := ReadAtMost(r, most, func() bool { return true })
 	if err != nil {
 		budget.give(most)
 		return nil, nil, fmt.Errorf("body: %w", err)
@@ -108,12 +108,12 @@
 	return &Body{data: data, budget: budget}, nil, nil
 }
 
-// readWhole reads r to its end, or more than most bytes of it. The buffer grows with what has come: a sender that
-// announces much and sends nothing costs its own time and none of our memory. The read that meets the end also tells
-// net/http to watch for the caller's leaving.
-func readWhole(r io.Reader, most int64) (data []byte, whole bool, err error) {
+// ReadAtMost reads r to its end, or more than most bytes of it, or until goOn says no, which is asked before each read.
+// The buffer grows with what has come: a sender that announces much and sends nothing costs its own time and none of our
+// memory. The read that meets the end also tells net/http to watch for the caller's leaving.
+func ReadAtMost(r io.Reader, most int64, goOn func() bool) (data []byte, whole bool, err error) {
 	data = make([]byte, 0, min(most+1, 512))
-	for {
+	for goOn() {
 		n, err := r.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		switch {
@@ -128,6 +128,7 @@
 			data = slices.Grow(data, min(len(data), int(most)+1-len(data)))
 		}
 	}
+	return data, false, nil
 }
 
 // Data is the body's bytes, which attempts share and nobody may change.
--- a/internal/body/stream.go
+++ b/internal/body/stream.go
@@ -70,25 +70,20 @@
 			s.segments[last] = s.segments[last][:len(s.segments[last])+n]
 			s.filled += int64(n)
 		}
-		switch {
-		case s.filled > MaxBytes:
-			err = ErrTooLarge
-		case s.err != nil:
-			err = s.err
-		}
-		switch {
-		case err == io.EOF:
-			s.whole = true
-		case s.err == nil:
-			s.err = err
+		if s.err == nil {
+			switch {
+			case s.filled > MaxBytes:
+				s.err = ErrTooLarge
+			case err == io.EOF:
+				s.whole = true
+			default:
+				s.err = err
+			}
 		}
+		whole, err := s.whole, s.err
 		s.moved.Broadcast()
 		s.mu.Unlock()
-		switch err {
-		case nil:
-		case io.EOF:
-			return nil
-		default:
+		if whole || err != nil {
 			return err
 		}
 	}
@@ -159,7 +154,7 @@
 	s.End(ErrEnded)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.segments, s.spent = nil, true
+	s.segments = nil
 	s.budget.give(s.charged)
 	s.charged = 0
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"brasswell/internal/framing"
+	"brasswell/internal/linked"
 )
 
 // Set tracks the callers' connections within their share of the sockets. Up to soft all are kept. Beyond,
@@ -31,7 +32,9 @@
 	onceIdle time.Duration
 	open     map[*Conn]struct{}
 	active   int
-	waiting  [kinds]queue // connections on which no request is open, by what is known of them
+	// waiting holds the connections on which no request is open by what is known of them, in the order in which they
+	// became so.
+	waiting [kinds]linked.List[Conn, *Conn]
 }
 
 // kind is what a connection on which no request is open is known for.
@@ -62,12 +65,13 @@
 	framing framing.Follower // of what it sends; used by the one that reads
 
 	// Guarded by set.mu.
-	state        http.ConnState
-	kind         kind
-	since        time.Time // when it became so; of a partial head, when its last bytes came
-	older, newer *Conn     // in the queue of its kind
-	ended        bool
-	requests     int // begun so far
+	state    http.ConnState
+	kind     kind
+	since    time.Time // when it became so; of a partial head, when its last bytes came
+	ended    bool
+	requests int // begun so far
+
+	linked.Links[Conn] // in the list of its kind
 }
 
 type connKey struct{}
@@ -93,7 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for k := c.waiting[once].front; k != nil && now.Sub(k.since) >= c.onceIdle; k = c.waiting[once].front {
+	for k := c.waiting[once].Front(); k != nil && now.Sub(k.since) >= c.onceIdle; k = c.waiting[once].Front() {
 		c.end(k)
 	}
 	if len(c.open) >= c.soft && !c.makeRoom(now) && len(c.open) >= c.hard {
@@ -113,7 +117,7 @@
 		kind  kind
 		grace time.Duration
 	}{{silent, silentGrace}, {once, 0}, {idle, 0}, {partial, headGrace}} {
-		if k := c.waiting[q.kind].front; k != nil && now.Sub(k.since) >= q.grace {
+		if k := c.waiting[q.kind].Front(); k != nil && now.Sub(k.since) >= q.grace {
 			c.end(k)
 			return true
 		}
@@ -121,14 +125,14 @@
 	return false
 }
 
-// become moves a connection to the end of the queue of its new kind; c.mu must be held.
+// become moves a connection to the end of the list of its new kind; c.mu must be held.
 func (c *Set) become(k *Conn, to kind, now time.Time) {
 	if k.kind != busy {
-		c.waiting[k.kind].remove(k)
+		c.waiting[k.kind].Remove(k)
 	}
 	k.kind, k.since = to, now
 	if to != busy {
-		c.waiting[to].push(k)
+		c.waiting[to].Push(k)
 	}
 }
 
@@ -237,55 +241,41 @@
 type Listener struct {
 	net.Listener
 	set      *Set
-	accepted atomic.Int64  // Unix time of the last
-	stopped  chan struct{} // closed by Stop
+	accepted atomic.Int64 // Unix time of the last
+	stopped  atomic.Bool
+	drained  atomic.Bool   // nothing more is accepted after Stop
 	closed   chan struct{} // closed by Close
-	drained  chan struct{} // closed once nothing more is accepted after Stop
-	stop     sync.Once
-	empty    sync.Once
 	end      sync.Once
 }
 
 // Stop lets go of the socket, which another process goes on accepting from, and leaves the connections that were
 // accepted as they are.
 func (l *Listener) Stop() {
-	l.stop.Do(func() {
-		close(l.stopped)
+	if !l.stopped.Swap(true) {
 		// Not awaited: it would stand while an accept does, if the socket blocks against all rules.
 		go l.Listener.Close()
-	})
+	}
 }
 
 // Drained says whether, after Stop, every connection that was accepted has been handed on.
-func (l *Listener) Drained() bool {
-	select {
-	case <-l.drained:
-		return true
-	default:
-		return false
-	}
-}
+func (l *Listener) Drained() bool { return l.drained.Load() }
 
 // Close ends the listener.
 func (l *Listener) Close() error {
 	l.end.Do(func() { close(l.closed) })
-	select {
-	case <-l.stopped:
+	if l.stopped.Load() {
 		return nil
-	default:
-		return l.Listener.Close()
 	}
+	return l.Listener.Close()
 }
 
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
-			select {
-			case <-l.stopped:
-				l.empty.Do(func() { close(l.drained) })
+			if l.stopped.Load() {
+				l.drained.Store(true)
 				<-l.closed // net/http would end with an error of its own
-			default:
 			}
 			return nil, err
 		}
@@ -299,7 +289,7 @@
 
 // Listen wraps a listener so that the set decides which connections are taken.
 func (c *Set) Listen(l net.Listener) *Listener {
-	return &Listener{Listener: l, set: c, stopped: make(chan struct{}), closed: make(chan struct{}), drained: make(chan struct{})}
+	return &Listener{Listener: l, set: c, closed: make(chan struct{})}
 }
 
 // Quiet is how long no connection has come.
@@ -329,31 +319,3 @@
 	defer c.mu.Unlock()
 	c.onceIdle = d
 }
-
-// queue holds the connections of one kind in the order in which they became so. It runs through the connections
-// themselves, so that every change costs the same however many there are.
-type queue struct{ front, back *Conn }
-
-func (q *queue) push(k *Conn) {
-	k.older, k.newer = q.back, nil
-	if q.back == nil {
-		q.front = k
-	} else {
-		q.back.newer = k
-	}
-	q.back = k
-}
-
-func (q *queue) remove(k *Conn) {
-	if k.older == nil {
-		q.front = k.newer
-	} else {
-		k.older.newer = k.newer
-	}
-	if k.newer == nil {
-		q.back = k.older
-	} else {
-		k.newer.older = k.older
-	}
-	k.older, k.newer = nil, nil
-}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -88,7 +88,8 @@
 	}
 	c := r.platform
 	memory := int64(c.Limits.MemoryMB * (1 << 20))
-	debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+	ownMemory := func(part float64) { debug.SetMemoryLimit(int64(part * heapShare * float64(memory))) }
+	ownMemory(1)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	r.log = logging.New(e.errOut, r.operator.Log)
 	r.log.Logger = r.log.With("name", c.Name)
@@ -100,7 +101,7 @@
 	}
 	if c.SocketFD > 0 {
 		first.Name, first.MeetIn = c.Name, e.getenv("TMPDIR")
-		first.OnPart = func(part float64) { debug.SetMemoryLimit(int64(part * heapShare * float64(memory))) }
+		first.OnPart = ownMemory
 		first.Inherited = os.NewFile(uintptr(c.SocketFD), "RELAY_SOCKET_FD")
 	}
 	left := 1.0
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -159,9 +159,7 @@
 }
 
 func (s *Front) submit(r *http.Request, a ask, kept *body.Body) *host.Request {
-	message := newMessage(r, kept)
-	message.Written = func() { s.figures.Try(a.class) }
-	return s.instance.Submit(message, a.class, a.tenant, a.left, s.restart.Cap(a.left))
+	return s.instance.Submit(newMessage(r, a.class, kept), a.class, a.tenant, a.left, s.restart.Cap(a.left))
 }
 
 var outcomes = map[host.Verdict]figures.Outcome{
@@ -292,13 +290,15 @@
 	return b, rest, err
 }
 
-func newMessage(r *http.Request, kept *body.Body) *backends.Message {
+func newMessage(r *http.Request, class int, kept *body.Body) *backends.Message {
 	header := make(http.Header, len(r.Header)+1)
 	copyEndToEnd(header, r.Header)
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	return &backends.Message{Method: r.Method, URI: r.RequestURI, URL: r.URL, Host: r.Host, Header: header, Body: kept}
+	return &backends.Message{
+		Class: class, Method: r.Method, URI: r.RequestURI, URL: r.URL, Host: r.Host, Header: header, Body: kept,
+	}
 }
 
 // copyEndToEnd adds to dst the headers of src that are not for one connection alone (RFC 9110, section 7.6.1). The
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -204,11 +204,10 @@
 				return err
 			}
 		}
-		switch err {
-		case nil:
-		case io.EOF:
+		if err == io.EOF {
 			return nil
-		default:
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -37,18 +37,14 @@
 	return &Peer{conn: c, waiting: map[uint64]chan Message{}}
 }
 
-func (p *Peer) write(m Message) error {
+// Tell sends a message that nobody answers.
+func (p *Peer) Tell(m Message) error {
 	p.writing.Lock()
 	defer p.writing.Unlock()
 	p.conn.SetWriteDeadline(time.Now().Add(writeTime))
 	return Write(p.conn, m)
 }
 
-// Tell sends a message that nobody answers.
-func (p *Peer) Tell(m Message) error {
-	return p.write(m)
-}
-
 // Ask sends a message and waits for its Done, for doneTime at most.
 func (p *Peer) Ask(ctx context.Context, m Message) (Message, error) {
 	done := make(chan Message, 1)
@@ -66,7 +62,7 @@
 		defer p.mu.Unlock()
 		delete(p.waiting, m.Number)
 	}()
-	if err := p.write(m); err != nil {
+	if err := p.Tell(m); err != nil {
 		return Message{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, doneTime)
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -21,15 +21,14 @@
 // holds, of so many that it may: it need not let go of any, for each has a caller that may write on it now.
 func (e *Elder) Asked(held, most int) Part {
 	e.asked, e.ready = true, false
+	own := Part{min(max(half, share(held, most)), 1), half}
 	if e.leaving {
-		return Part{e.callers(held, most), 0}
+		own.Rest = 0
 	}
-	return Part{e.callers(held, most), half}
+	return own
 }
 
-func (e *Elder) callers(held, most int) float64 {
-	return min(max(half, float64(held)/float64(max(most, 1))), 1)
-}
+func share(held, most int) float64 { return float64(held) / float64(max(most, 1)) }
 
 // Ready takes in that the new process takes clients.
 func (e *Elder) Ready() { e.ready = e.asked }
@@ -53,8 +52,7 @@
 
 // Joined is the part of a new process beside one that holds so many callers' connections, of most.
 func Joined(held, most int) Part {
-	other := float64(held) / float64(max(most, 1))
-	return Part{max(min(half, 1-other), leastCallers), half}
+	return Part{max(min(half, 1-share(held, most)), leastCallers), half}
 }
 
 // Left is its part once the old one has been told to go: what that still holds of callers' connections stays its own
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,18 +44,18 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	request *Request
-	number  int
-	to      backends.Endpoint
-	sent    time.Duration
-	from    time.Duration // when the backend can have begun: sent, or when the request had all come
-	end     time.Duration // when the proxy stops waiting
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	timer   *time.Timer
-	over    bool
-	late    bool // its time has run out
-	passing bool // its answer is being passed on
+	instance *Instance
+	request  *Request
+	number   int
+	to       backends.Endpoint
+	sent     time.Duration
+	from     time.Duration // when the backend can have begun: sent, or when the request had all come
+	end      time.Duration // when the proxy stops waiting
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+	over     bool
+	passing  bool // its answer is being passed on
 }
 
 // Instance hosts one balancer. It is the balancer's Host: the calls come while mu is held, so none of them may
@@ -103,8 +103,8 @@
 func (i *Instance) now() time.Duration { return i.unix + time.Since(i.started) }
 
 // Submit hands a request to the balancer. Its clock starts here, when its last byte has been read, or with Received
-// if its body is a stream, which the caller fills. It has to be
-// over within so much time, where that is above 0. The ids are our own: callers may use theirs again, and the balancer takes a known id for one it already has.
+// if its body is a stream, which the caller fills. It has to be over within so much time, where that is above 0. The ids
+// are our own: callers may use theirs again, and the balancer takes a known id for one it already has.
 func (i *Instance) Submit(m *backends.Message, class, tenant int, left, within time.Duration) *Request {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -181,15 +181,13 @@
 		i.end(a, balance.Ignored, nil) // its time has expired: never sent
 		return
 	}
-	outcome, r := i.backends.Exchange(a.ctx, a.to, a.request.message, backends.Hooks{
-		Begin:   func() (time.Duration, bool) { return i.begin(a) },
-		Started: func(r *backends.Reply) bool { return i.begun(a, r) },
-	})
+	outcome, r := i.backends.Exchange(a.ctx, a.to, a.request.message, a)
 	i.end(a, outcome, r)
 }
 
-// begin says how long an attempt that is about to be written may take, and whether it is still wanted.
-func (i *Instance) begin(a *attempt) (time.Duration, bool) {
+// Begin says how long an attempt that is about to be written may take, and whether it is still wanted.
+func (a *attempt) Begin() (time.Duration, bool) {
+	i := a.instance
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	left := a.end - i.now()
@@ -201,11 +199,12 @@
 	return left, usable && left > 0 && !a.request.answered && a.ctx.Err() == nil
 }
 
-// begun passes on an answer that streams, and says whether somebody takes it. From here on no time ends the attempt.
-func (i *Instance) begun(a *attempt, r *backends.Reply) bool {
+// Started passes on an answer that streams, and says whether somebody takes it. From here on no time ends the attempt.
+func (a *attempt) Started(r *backends.Reply) bool {
+	i := a.instance
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if a.late || a.ctx.Err() != nil || !a.request.answer(Final{Verdict: Served, Reply: r}) {
+	if a.ctx.Err() != nil || !a.request.answer(Final{Verdict: Served, Reply: r}) {
 		return false
 	}
 	a.passing = true
@@ -275,26 +274,21 @@
 	i.backends.Keep(wanted)
 }
 
-// Suspend takes a server out by hand, and reports whether a list has ever named it. Once it has returned, nothing new
-// begins to go there: a send that is decided and not yet written asks again right before its first byte.
-func (i *Instance) Suspend(id string) bool {
+// ByHand takes a server out or puts it back, and reports whether a list has ever named it. Once it has returned from
+// taking one out, nothing new begins to go there: a send that is decided and not yet written asks again right before its
+// first byte.
+func (i *Instance) ByHand(id string, out bool) (known bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	known := !i.closed && i.balancer.Suspend(i.now(), id)
-	if known {
-		i.keep() // what is held to it leads to a process that will be restarted
+	if i.closed {
+		return false
 	}
-	return known
-}
-
-// Resume puts a server back.
-func (i *Instance) Resume(id string) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	known := !i.closed && i.balancer.Resume(i.now(), id)
-	if known {
-		i.keep()
+	if out {
+		known = i.balancer.Suspend(i.now(), id)
+	} else {
+		known = i.balancer.Resume(i.now(), id)
 	}
+	i.keep() // what is held to a server that is out leads to a process that will be restarted
 	return known
 }
 
@@ -348,7 +342,9 @@
 func (i *Instance) Send(id, server string, timeout time.Duration) {
 	q := i.requests[id]
 	now := i.now()
-	a := &attempt{request: q, number: len(q.attempts), to: i.address[server], sent: now, from: now, end: now + timeout}
+	a := &attempt{
+		instance: i, request: q, number: len(q.attempts), to: i.address[server], sent: now, from: now, end: now + timeout,
+	}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.timer = time.AfterFunc(timeout, func() { i.expire(a) })
 	if q.arriving {
@@ -370,7 +366,6 @@
 	if i.now() < a.end || a.over || a.passing {
 		return // Received has set its time anew meanwhile
 	}
-	a.late = true
 	a.cancel(backends.ErrTimedOut)
 }
 
--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -27,20 +27,13 @@
 
 // byHand takes a server out or puts it back, here and in the other process of this proxy, if there is one.
 func (d desk) byHand(ctx context.Context, id string, out bool) error {
-	known := d.ban(id, out)
+	known := d.host.ByHand(id, out)
 	if d.upgrade != nil {
 		known = d.upgrade.tell(ctx, id, out) || known
 	}
 	return named(id, known)
 }
 
-func (p *Proxy) ban(id string, out bool) (known bool) {
-	if out {
-		return p.host.Suspend(id)
-	}
-	return p.host.Resume(id)
-}
-
 func named(id string, known bool) error {
 	if !known {
 		return fmt.Errorf("no list has ever named the backend %q", id)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -58,8 +58,8 @@
 	// callerShare and backendShare of the other sockets are for each side. A request uses one of each, and
 	// callers' connections that are only there to be refused need a few more.
 	callerShare, crowdShare, backendShare = 0.46, 0.54, 0.46
-	// bodyShare of the memory may hold callers' bodies. The rest is for answers (maxBody for each backend
-	// connection at most), connections and the collector's slack.
+	// bodyShare of the memory may hold callers' bodies. The rest is for answers (body.WholeBytes for each
+	// backend connection at most), streams' windows, connections and the collector's slack.
 	bodyShare = 0.25
 	// kernelShare of the memory bounds what all sockets may hold in the kernel, where it counts as ours and
 	// the collector does not see it. Left alone, one connection's buffers grow to megabytes.
@@ -67,7 +67,7 @@
 	// The console holds one of consoleShare descriptors, within bounds: its callers may stay and say nothing.
 	consoleShare, leastConsole, mostConsole = 24, 8, 64
 	// A socket's buffer is no smaller than leastBuffer, which the kernel would not go below by much, and
-	// needs to be no larger than mostBuffer, which takes a whole body.
+	// needs to be no larger than mostBuffer, which takes a body that is read whole.
 	leastBuffer, mostBuffer = 8 << 10, 64 << 10
 )
 
@@ -126,6 +126,7 @@
 		consoleConns = min(max(c.Sockets/consoleShare, leastConsole), mostConsole)
 		sockets -= float64(consoleConns)
 	}
+	book := figures.NewBook(s.Classes)
 	buffers := socketBuffers(c.Memory, c.Sockets)
 	most := limits{
 		soft: int(callerShare * sockets), hard: int(crowdShare * sockets), backends: int(backendShare * sockets),
@@ -133,11 +134,11 @@
 	}
 	p := &Proxy{
 		callers: callers.NewSet(most.soft, most.hard, c.Options.Callers.OnceIdle),
-		restart: restart.New(), log: c.Log, figures: figures.NewBook(s.Classes),
+		restart: restart.New(), log: c.Log, figures: book,
 		bodies: body.NewBudget(most.bodies), limits: most,
 		backends: backends.NewPool(backends.Limits{
 			Conns: most.backends, ConnectTimeout: s.ConnectTimeout, ConnIdle: s.ConnIdle,
-			Control: buffers, Options: c.Options.Backends,
+			Control: buffers, Written: book.Try, Options: c.Options.Backends,
 		}),
 	}
 	p.watching, p.stop = context.WithCancel(context.Background())
@@ -166,11 +167,11 @@
 	if c.Inherited != nil && c.MeetIn != "" {
 		p.upgrade = newUpgrade(p, c.MeetIn, c.Name)
 	}
-	if p.upgrade != nil && p.upgrade.join() {
-		// What the running process knows is newer than the file's list.
-	} else if err := p.known(c.Known); err != nil {
-		p.Close()
-		return nil, err
+	if p.upgrade == nil || !p.upgrade.join() { // what a running process knows is newer than the file's list
+		if err := p.known(c.Known); err != nil {
+			p.Close()
+			return nil, err
+		}
 	}
 	if c.Console != "" {
 		if p.console, err = console.New(c.Console, consoleConns, desk{p}, c.Log); err != nil {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -202,13 +202,19 @@
 
 func (g *rig) dial() *testCaller {
 	g.t.Helper()
-	c, err := net.Dial("tcp", g.address)
+	return dialAt(g.t, g.address)
+}
+
+// dialAt opens a connection that the test's end closes.
+func dialAt(t *testing.T, address string) *testCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
 	if err != nil {
-		g.t.Fatal(err)
+		t.Fatal(err)
 	}
-	g.t.Cleanup(func() { c.Close() })
+	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(patient))
-	return &testCaller{g.t, c, bufio.NewReader(c)}
+	return &testCaller{t, c, bufio.NewReader(c)}
 }
 
 // head is a GET's head with the fields that the protocol asks for.
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -20,26 +21,20 @@
 // echo is a backend that answers a request with its own body, or with as many bytes as the path asks for.
 type echo struct {
 	address string
-	began   atomic.Int64 // requests whose last byte has come
-	broken  chan string  // the ids of requests that broke off
-	conns   atomic.Int64
+	began   atomic.Int64  // requests whose last byte has come
+	broken  chan string   // the ids of requests that broke off
 	gate    chan struct{} // an answer's second half waits for one, if set
 }
 
 func newEcho(t *testing.T) *echo {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	e := &echo{address: l.Addr().String(), broken: make(chan string, 100)}
-	s := &http.Server{Handler: e, ConnState: func(_ net.Conn, state http.ConnState) {
-		if state == http.StateNew {
-			e.conns.Add(1)
-		}
-	}}
-	go s.Serve(l)
-	t.Cleanup(func() { s.Close() })
+	e := &echo{broken: make(chan string, 100)}
+	s := httptest.NewServer(e)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	e.address = s.Listener.Addr().String()
 	return e
 }
 
--- a/internal/proxy/upgrade.go
+++ b/internal/proxy/upgrade.go
@@ -129,7 +129,7 @@
 }
 
 func (u *upgrade) ban(from *handover.Peer, m handover.Message) {
-	known := u.proxy.ban(m.Server, m.Out)
+	known := u.proxy.host.ByHand(m.Server, m.Out)
 	u.proxy.log.Info("by hand, at the other process", "backend", m.Server, "out", m.Out, "known", known)
 	from.Tell(handover.Message{Kind: handover.Done, Number: m.Number, Known: known})
 }
--- a/internal/proxy/upgrade_test.go
+++ b/internal/proxy/upgrade_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 	"time"
 
 	"brasswell/internal/figures"
+	"brasswell/internal/front"
 	"brasswell/internal/handover"
 )
 
@@ -93,19 +95,8 @@
 
 // console makes one call.
 func (s *process) console(method, path string) (int, string) {
-	c, err := net.Dial("tcp", s.Proxy.console.Addr().String())
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(patient))
-	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: console\r\n\r\n", method, path)
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0, err.Error()
-	}
-	text, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(text)
+	s.t.Helper()
+	return dialAt(s.t, s.Proxy.console.Addr().String()).send(method + " " + path + " HTTP/1.1\r\nHost: console\r\n\r\n").answer()
 }
 
 // crowd is callers that ask one request after the other on kept connections until they are told to end.
@@ -204,13 +195,12 @@
 }
 
 func (r *ran) backend(t *testing.T, name string) string {
-	b := newCounting(t, func(id string) {
+	return newCounting(t, func(id string) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.times[id]++
 		r.at[name]++
 	})
-	return b
 }
 
 func (r *ran) count(name string) int {
@@ -222,18 +212,13 @@
 // newCounting is a backend that tells of each request and answers with its id.
 func newCounting(t *testing.T, tell func(id string)) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get("X-Txn")
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(front.IDField)
 		tell(id)
 		io.WriteString(w, id)
-	})}
-	go s.Serve(l)
-	t.Cleanup(func() { s.Close() })
-	return l.Addr().String()
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
 }
 
 // TestUpgradesUnderLoad upgrades several times in a row while callers ask without a pause for what must not run twice.
@@ -373,17 +358,16 @@
 	c.reached(t, 300)
 	c.end()
 	served := c.asked.Load()
-	refused := newCrowdOnce(t, p.listener.Addr().String(), strings.Replace(keyed("x", "/"), "hold", "nonsense", 1)+"Content-Length: 0\r\n\r\n")
-	if refused != 400 {
-		t.Fatalf("%d", refused)
+	if status, _ := dialAt(t, p.listener.Addr().String()).send(strings.Replace(keyed("x", "/"), "hold", "nonsense", 1) + "Content-Length: 0\r\n\r\n").answer(); status != 400 {
+		t.Fatalf("%d", status)
 	}
-	if status := newCrowdOnce(t, p.listener.Addr().String(), keyed("y", "/")+"Content-Length: -1\r\n\r\n"); status != 400 {
+	if status, _ := dialAt(t, p.listener.Addr().String()).send(keyed("y", "/") + "Content-Length: -1\r\n\r\n").answer(); status != 400 {
 		t.Fatalf("%d", status)
 	}
 	for name := range map[string]bool{"s1": true, "s2": true} {
 		s.console("POST", "/v1/backends/"+name+"/suspend")
 	}
-	if status := newCrowdOnce(t, p.listener.Addr().String(), strings.Replace(head("z"), "9000", "200", 1)); status != 503 {
+	if status, _ := dialAt(t, p.listener.Addr().String()).send(strings.Replace(head("z"), "9000", "200", 1)).answer(); status != 503 {
 		t.Fatalf("%d", status)
 	}
 	_, text := s.console("GET", "/v1/metrics")
@@ -400,19 +384,3 @@
 		t.Errorf("%+v", n)
 	}
 }
-
-func newCrowdOnce(t *testing.T, address, request string) int {
-	t.Helper()
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(patient))
-	io.WriteString(conn, request)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return resp.StatusCode
-}
--- a/internal/restart/restart.go
+++ b/internal/restart/restart.go
@@ -102,35 +102,33 @@
 func (l *Restart) Answered(took time.Duration) { l.usual.observe(took) }
 
 // Run is a planned restart from its beginning to its end; left says whether no caller is there or coming, and before
-// that closes what is idle if it is told to. It reports whether all had left. http.Server.Shutdown would not do: it closes the listener at
-// once, and with it the connections that are still coming and those in the accept queue, whose requests count as
-// taken.
+// that closes what is idle if it is told to. It reports whether all had left. http.Server.Shutdown would not do: it closes
+// the listener at once, and with it the connections that are still coming and those in the accept queue, whose requests
+// count as taken.
 func (l *Restart) Run(left func(closeIdle bool) bool) bool {
 	l.Begin()
 	start := *l.begun.Load()
-	if l.handed.Load() {
-		for time.Since(start) < l.end()-idleEnd {
-			if left(false) {
+	// The end is asked for anew each time: it moves while callers with longer deadlines come.
+	until := func(end func() time.Duration, closeIdle bool) bool {
+		for time.Since(start) < end() {
+			if left(closeIdle) {
 				return true
 			}
 			time.Sleep(step)
 		}
-	} else {
+		return false
+	}
+	if !l.handed.Load() {
 		time.Sleep(time.Until(start.Add(l.serveOn())))
+	} else if until(func() time.Duration { return l.end() - idleEnd }, false) {
+		return true
 	}
-	for time.Since(start) < l.end() {
-		if left(true) {
-			return true
-		}
-		time.Sleep(step)
+	if until(l.end, true) {
+		return true
 	}
 	close(l.over)
-	for end := time.Now().Add(lastWords); time.Now().Before(end); time.Sleep(step) {
-		if left(true) {
-			return true
-		}
-	}
-	return false
+	end := time.Since(start) + lastWords
+	return until(func() time.Duration { return end }, true)
 }
 
 // usual follows the time that usualShare of all answers take, in steps of a twentieth.
