Repeat what never ran without spending the retry budget

While a room is lost (6.8 to 12 s), the first tier refuses 100 to 150 requests a second after a single connect error, the second tier 60 to 90; clients come again at 1.95 tries a request and upper tiers see errors. Retries spend a budget of a tenth, and half of all first sends end unconnected.

Ruled out: discovery (no list changes while the room is out), the limit (refusals have one attempt, not none), time (a connect error comes after 150 ms of 2 s and more). At fault: tryAgain, which charges what never ran like work.

Change: outcomes that prove that an attempt never ran need no budget. MaxAttempts and the time bound them as before. The host tells attempts and lists at level debug.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -194,7 +194,7 @@
 		case q.spent:
 			b.answer(now, q)
 		default:
-			b.tryAgain(now, q)
+			b.tryAgain(now, q, a.unrun)
 		}
 	} else if r.Finished {
 		b.cancelOut(q)
--- a/balance/types.go
+++ b/balance/types.go
@@ -3,9 +3,22 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 )
 
+var (
+	outcomeNames  = []string{"ok", "failed", "queue_full", "timed_out", "connect_error", "reset", "canceled", "ignored", "rejected"}
+	listKindNames = []string{"delta", "full", "cached", "failed"}
+)
+
+func name(n int, names []string) string {
+	if n < 0 || n >= len(names) {
+		return strconv.Itoa(n)
+	}
+	return names[n]
+}
+
 // Effect says what running a request more than once would do.
 type Effect int
 
@@ -47,6 +60,8 @@
 	ListFailed                 // a Watch failed or its subscription dropped; no entries
 )
 
+func (k ListKind) String() string { return name(int(k), listKindNames) }
+
 // Outcome is how one attempt ended.
 type Outcome int
 
@@ -64,6 +79,8 @@
 	Rejected
 )
 
+func (o Outcome) String() string { return name(int(o), outcomeNames) }
+
 // ProvesUnrun reports whether the outcome proves that the attempt had no effect.
 func (o Outcome) ProvesUnrun() bool {
 	return o == QueueFull || o == ConnectError || o == Ignored
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -230,6 +230,7 @@
 	if q.arriving {
 		latency = 0 // the backend has not had the time to do anything
 	}
+	i.traceAttempt(a, outcome, now)
 	stream := q.message.Body.Stream()
 	i.balancer.Result(now, balance.Result{
 		ID: q.id, Attempt: a.number, Outcome: outcome, Latency: latency, Finished: q.answered,
@@ -256,6 +257,7 @@
 		}
 	}
 	i.listed = i.listed || len(i.address) > 0
+	i.traceList(kind, entries)
 	i.balancer.Update(i.now(), kind, entries)
 	if kind != balance.ListFailed {
 		i.keep()
@@ -397,6 +399,7 @@
 
 func (i *Instance) decide(id string, f Final) {
 	if q := i.requests[id]; q != nil {
+		i.traceUnserved(q, f.Verdict)
 		q.answer(f)
 		i.tidy(q) // a timer may have decided it, and nothing else comes for it then
 	}
--- /dev/null
+++ b/internal/host/trace.go
@@ -0,0 +1,54 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"brasswell/balance"
+)
+
+// The lines that tell what one proxy did, at level debug. What many proxies do together shows in no single one: `brasswell
+// count` reads these lines from all of them. Their names and fields are read there, so a change here is one there.
+const (
+	TraceAttempt  = "attempt"  // one that has ended
+	TraceUnserved = "unserved" // a request refused or failed
+	TraceList     = "list"     // news of the server list
+)
+
+// traces says whether the lines are wanted; the fields of one cost more than it does.
+func (i *Instance) traces() bool { return i.log.Enabled(context.Background(), slog.LevelDebug) }
+
+func (i *Instance) traceAttempt(a *attempt, outcome balance.Outcome, now time.Duration) {
+	if !i.traces() {
+		return
+	}
+	i.log.Debug(TraceAttempt, "id", a.request.id, "n", a.number, "class", a.request.message.Class,
+		"backend", a.to.Server, "outcome", outcome.String(), "sent_ms", a.sent.Milliseconds(),
+		"took_ms", (now - a.sent).Milliseconds())
+}
+
+func (i *Instance) traceUnserved(q *Request, v Verdict) {
+	if !i.traces() || q.answered {
+		return
+	}
+	i.log.Debug(TraceUnserved, "id", q.id, "class", q.message.Class, "refused", v == Refused, "attempts", len(q.attempts))
+}
+
+func (i *Instance) traceList(kind balance.ListKind, entries []balance.Entry) {
+	if !i.traces() {
+		return
+	}
+	var up, draining, gone int
+	for _, e := range entries {
+		switch e.State {
+		case balance.InService:
+			up++
+		case balance.Draining:
+			draining++
+		case balance.Gone:
+			gone++
+		}
+	}
+	i.log.Debug(TraceList, "kind", kind.String(), "up", up, "draining", draining, "gone", gone)
+}
