Measure a cold server's budget by what one warm member answers

When six in ten are replaced, new servers get 12 requests a second for as long as they may be cold, while the warm ones, at 30 a second before, are sent 65 and answer late (time-outs from 11 to 16 s, spread 3.5). Cold ones answer all they are sent.

Ruled out: the list (all proxies hold the new servers within 0.1 s of its news), subsets (all 13 use each backend), the limit. At fault: coldAllows, which divides what is served by all places of the slice, the empty ones too, so that the budget falls with each server that is gone, just when the cold ones are wanted.

Change: an answer counts for one of the members that serve, a cold one by its share; and half of the multiple that fells a cold server is used, where it was a third. Dividing by the warm members alone was taken out: with none left it gave each cold one the whole load. TestRandomDays compared sends of an advance with a list that came after them; it checks before the list now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,6 +72,7 @@
 	retries  float64
 	part     float64       // of what an instance may do; less than 1 beside another at an upgrade
 	served   rate          // requests answered in time by servers
+	warm     rate          // of these, what one warm member answers
 	newest   time.Duration // when the youngest of the attempts that were answered was sent
 
 	timers    map[uint64]func(now time.Duration)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -564,36 +564,7 @@
 	reqs := map[string]*open{}
 	ids := []string{}
 	seen := 0
-	for step := range 1500 {
-		f.advance(f.now + time.Duration(rng.IntN(20))*ms)
-		switch k := rng.IntN(20); {
-		case k < 8:
-			id := fmt.Sprint("r", step)
-			class := rng.IntN(len(set.Classes))
-			reqs[id] = &open{class: class, due: f.now + set.Classes[class].GiveUp}
-			ids = append(ids, id)
-			f.submit(id, class)
-		case k < 18 && len(ids) > 0:
-			id := ids[rng.IntN(len(ids))]
-			q := reqs[id]
-			for i := range q.done {
-				if !q.done[i] {
-					q.done[i] = true
-					q.outs[i] = []Outcome{OK, OK, OK, Failed, QueueFull, ConnectError, Reset}[rng.IntN(7)]
-					f.result(id, i, q.outs[i])
-					break
-				}
-			}
-		case k == 18:
-			e := byID[list[rng.IntN(len(list))].ID]
-			e.State = State(rng.IntN(3))
-			if e.State == InService && rng.IntN(2) == 0 {
-				e.Boot = f.now
-			}
-			f.b.Update(f.now, Delta, []Entry{*e})
-		case k == 19 && rng.IntN(4) == 0:
-			f.b.Update(f.now, ListFailed, nil)
-		}
+	check := func() { // against what is so when it is done: a list that comes right after it changes that
 		for _, line := range f.actions[seen:] {
 			word := strings.Fields(line)
 			if word[1] == "send" {
@@ -624,6 +595,39 @@
 			}
 		}
 		seen = len(f.actions)
+	}
+	for step := range 1500 {
+		f.advance(f.now + time.Duration(rng.IntN(20))*ms)
+		check()
+		switch k := rng.IntN(20); {
+		case k < 8:
+			id := fmt.Sprint("r", step)
+			class := rng.IntN(len(set.Classes))
+			reqs[id] = &open{class: class, due: f.now + set.Classes[class].GiveUp}
+			ids = append(ids, id)
+			f.submit(id, class)
+		case k < 18 && len(ids) > 0:
+			id := ids[rng.IntN(len(ids))]
+			q := reqs[id]
+			for i := range q.done {
+				if !q.done[i] {
+					q.done[i] = true
+					q.outs[i] = []Outcome{OK, OK, OK, Failed, QueueFull, ConnectError, Reset}[rng.IntN(7)]
+					f.result(id, i, q.outs[i])
+					break
+				}
+			}
+		case k == 18:
+			e := byID[list[rng.IntN(len(list))].ID]
+			e.State = State(rng.IntN(3))
+			if e.State == InService && rng.IntN(2) == 0 {
+				e.Boot = f.now
+			}
+			f.b.Update(f.now, Delta, []Entry{*e})
+		case k == 19 && rng.IntN(4) == 0:
+			f.b.Update(f.now, ListFailed, nil)
+		}
+		check()
 		ids = slices.DeleteFunc(ids, func(id string) bool {
 			over := f.final[id] != "" || f.ended[id]
 			if !over && f.now > reqs[id].due {
--- a/balance/carry.go
+++ b/balance/carry.go
@@ -14,6 +14,7 @@
 	Classes  []CarriedClass
 	Quota    []float64
 	Served   float64 // answers a second
+	Warm     float64 // of these, a warm member's
 	ServedAt time.Duration
 }
 
@@ -43,7 +44,7 @@
 // Carry returns what the next instance is to know.
 func (b *Balancer) Carry(now time.Duration) Carried {
 	c := Carried{
-		Seen: b.seen.order, Limit: b.limit, Retries: b.retries, Served: b.served.at(now), ServedAt: now,
+		Seen: b.seen.order, Limit: b.limit, Retries: b.retries, Served: b.served.at(now), Warm: b.warm.at(now), ServedAt: now,
 	}
 	for id := range b.banned {
 		c.Banned = append(c.Banned, id)
@@ -96,6 +97,7 @@
 	b.limit = max(c.Limit, limitLeast)
 	b.retries = min(max(c.Retries, 0), retryBurst)
 	b.served = rate{per: max(c.Served, 0), last: c.ServedAt}
+	b.warm = rate{per: max(c.Warm, 0), last: c.ServedAt}
 	if len(c.Classes) == len(b.set.Classes) {
 		for i, k := range c.Classes {
 			b.cost[i], b.mean[i], b.base[i] = quantile(k.Cost), mean(k.Mean), mean(k.Base)
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// coldRoom of the multiple that fells a cold server is used, and no less than what it is sure to serve.
+const coldRoom = 0.5
+
 // coldShare is the part of its full capacity that a server can be counted on to have.
 func (b *Balancer) coldShare(now time.Duration, s *server) float64 {
 	boot := max(s.entry.Boot, s.resumed)
@@ -16,10 +19,10 @@
 }
 
 // coldAllows keeps a cold server standing. All instances together may send it FallMultiple times its present
-// capacity; each keeps to its own part of once that: what a member serves it on average, times the cold
-// share. What is sent would be no guide: under overload it is a multiple of what servers can do. Only the
-// slice's own members are warmed up: as a spare, a cold server would hear from instances that its budget
-// does not count on.
+// capacity; each keeps to its own part of coldRoom of that: what a warm member serves it on average, times
+// the cold share. What is sent would be no guide: under overload it is a multiple of what servers can do.
+// Only the slice's own members are warmed up: as a spare, a cold server would hear from instances that its
+// budget does not count on.
 func (b *Balancer) coldAllows(now time.Duration, s *server) bool {
 	share := b.coldShare(now, s)
 	if share >= 1 {
@@ -28,12 +31,25 @@
 	if !slices.Contains(b.order[:b.slice], s) {
 		return false
 	}
-	perMember := b.part * b.served.at(now) / float64(b.slice)
-	s.coldTokens = min(s.coldTokens+perMember*share*(now-s.coldAt).Seconds(), 1)
+	perSecond := max(coldRoom*b.set.FallMultiple, 1) * b.part * b.warm.at(now) * share
+	s.coldTokens = min(s.coldTokens+perSecond*(now-s.coldAt).Seconds(), 1)
 	s.coldAt = now
 	return s.coldTokens >= 1
 }
 
+// notePerWarm counts an answer for the rate of one warm member. Members that are out serve nothing and a cold
+// one counts for its share. To divide by all members would cut the cold ones' budget with each that is gone,
+// just when they are wanted; to divide by the warm alone would give all of them what the last one serves.
+func (b *Balancer) notePerWarm(now time.Duration) {
+	members := 0.0
+	for _, m := range b.active {
+		if !m.out() {
+			members += b.coldShare(now, m)
+		}
+	}
+	b.warm.add(now, 1/max(members, 1))
+}
+
 func (b *Balancer) spendCold(now time.Duration, s *server) {
 	if b.coldShare(now, s) < 1 {
 		s.coldTokens--
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -34,3 +34,51 @@
 		}
 	}
 }
+
+// replaced plays 100 requests a second before 10 servers for 10 s, then gone of them gone and fresh new ones cold for
+// 2 s, and returns what one cold server was sent in the second second.
+func replaced(t *testing.T, gone, fresh int) (perCold float64) {
+	f := newFake(t, testSettings(), fleet(10))
+	play := func(n int) map[string]int {
+		sent := map[string]int{}
+		for range n {
+			id := fmt.Sprint("r", len(f.sent))
+			f.submit(id, 0)
+			f.advance(f.now + 10*ms)
+			for i, s := range f.sent[id] {
+				sent[s]++
+				f.result(id, i, OK)
+			}
+		}
+		return sent
+	}
+	play(1000)
+	list := fleet(10)[gone:]
+	for i := range fresh {
+		list = append(list, Entry{ID: fmt.Sprintf("t%03d", i), Boot: f.now})
+	}
+	f.b.Update(f.now, Full, list)
+	play(100)
+	total := 0
+	for id, n := range play(100) {
+		if id[0] == 't' {
+			total += n
+		}
+	}
+	return float64(total) / float64(fresh)
+}
+
+// TestColdBudgetFollowsTheWarm: 10 a second are a warm member's when all stand; with six of ten gone the four
+// that are left have 25 each, and a cold one is sent in proportion to that. To measure it by all places, the empty ones
+// too, kept it at a third of what it could do while the warm drowned.
+func TestColdBudgetFollowsTheWarm(t *testing.T) {
+	// At 37 to 44% of its capacity in its second second, used for 1.5 times that.
+	few, many := replaced(t, 1, 1), replaced(t, 6, 1)
+	t.Logf("a cold server is sent %.1f beside nine warm ones, %.1f beside four", few, many)
+	if few < 4 || few > 8 {
+		t.Errorf("beside nine warm ones a cold server is sent %.1f in a second, want 4 to 8", few)
+	}
+	if many < 8 || many > 17 {
+		t.Errorf("beside four warm ones a cold server is sent %.1f in a second, want 8 to 17", many)
+	}
+}
--- a/balance/health.go
+++ b/balance/health.go
@@ -51,7 +51,8 @@
 		s.trial = false
 		return
 	case OK:
-		b.served.add(now)
+		b.served.add(now, 1)
+		b.notePerWarm(now)
 		if overdue {
 			s.trial = false
 			if s.ejected > 0 {
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -14,8 +14,8 @@
 // rateMemory is the time over which a rate is smoothed.
 const rateMemory = 4 * time.Second
 
-func (r *rate) add(now time.Duration) {
-	r.per = r.at(now) + 1/rateMemory.Seconds()
+func (r *rate) add(now time.Duration, events float64) {
+	r.per = r.at(now) + events/rateMemory.Seconds()
 	r.last = now
 }
 
