--- a/balance/admission.go
+++ b/balance/admission.go
@@ -112,12 +112,12 @@
 func (b *Balancer) learn(now time.Duration, q *request, s *server, r Result) {
 	took := r.Latency.Seconds()
 	if r.Outcome == OK {
-		b.cost[q.Class].observe(r.Latency, costQuantile)
+		b.cost[q.Class].Observe(max(took, minCost), costQuantile, quantileStep)
 		b.patience[q.Class].observe(q.Left)
-		b.mean[q.Class].observe(took)
+		b.mean[q.Class].Observe(took, meanStep)
 	}
-	if t := &b.tail[q.Class]; r.Outcome == OK || t.known() && took > float64(t.quantile) {
-		t.observe(r.Latency, tailQuantile)
+	if t := &b.tail[q.Class]; r.Outcome == OK || t.known() && took > float64(t.Quantile) {
+		t.Observe(max(took, minCost), tailQuantile, quantileStep)
 		t.seen++
 	}
 	target := max(targetShare*q.class.Aim.Seconds(), baseGain*float64(b.base[q.Class]))
@@ -137,7 +137,7 @@
 		s.slow += slowStep * (min(took/mean, slowMost) - 1 - s.slow)
 	}
 	if !b.pressed(now) || b.load() <= baseShare*float64(len(b.active)) {
-		b.base[q.Class].observe(took)
+		b.base[q.Class].Observe(took, meanStep)
 	}
 	b.adapt(now, s, over)
 }
@@ -194,7 +194,7 @@
 		return 0
 	}
 	wait := b.set.MaxRetryAfter // nothing gets served, so nothing tells when that will change
-	if perSecond := b.served.at(now); perSecond > 0 {
+	if perSecond := b.served.At(now, rateMemory); perSecond > 0 {
 		turn := float64(len(b.held)+b.inFlight+1) / perSecond
 		wait = time.Duration(min(turn*float64(time.Second), float64(wait)))
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"time"
 
+	"brasswell/internal/estimate"
 	"brasswell/internal/recent"
 )
 
@@ -63,18 +64,18 @@
 	requests map[string]*request
 	held     []*request // by worth for the time they take, then by age
 	holding  bool
-	inFlight int        // requests with an attempt out
-	limit    float64    // how many of them are admitted
-	tail     []tail     // by class, the time after which an attempt is late for its class
-	cost     []quantile // by class, a low quantile of its answers' seconds, which waiting distorts least
-	mean     []mean     // by class, its answers' mean seconds
-	base     []mean     // by class, the same of attempts that met no crowd
-	patience []patience // by class, how long a client's try may take
-	quota    []bucket   // by tenant
+	inFlight int                 // requests with an attempt out
+	limit    float64             // how many of them are admitted
+	tail     []tail              // by class, the time after which an attempt is late for its class
+	cost     []estimate.Quantile // by class, a low quantile of its answers' seconds, which waiting distorts little
+	mean     []estimate.Mean     // by class, its answers' mean seconds
+	base     []estimate.Mean     // by class, the same of attempts that met no crowd
+	patience []patience          // by class, how long a client's try may take
+	quota    []bucket            // by tenant
 	retries  float64
 	part     float64       // of what an instance may do; less than 1 beside another at an upgrade
-	served   rate          // requests answered in time by servers
-	warm     rate          // of these, what one warm member answers
+	served   estimate.Rate // requests answered in time by servers
+	warm     estimate.Rate // of these, what one warm member answers
 	newest   time.Duration // when the youngest of the attempts that were answered was sent
 	heard    time.Duration // when the last answer came
 
@@ -92,8 +93,9 @@
 		set: settings, host: host, rng: rand.NewPCG(seed, 0), seen: recent.New(seenMost),
 		servers: map[string]*server{}, banned: map[string]bool{}, requests: map[string]*request{},
 		timers: map[uint64]func(time.Duration){}, retries: retryBurst / 2, limit: limitFirst, part: 1,
-		cost: make([]quantile, len(settings.Classes)), tail: make([]tail, len(settings.Classes)),
-		mean: make([]mean, len(settings.Classes)), base: make([]mean, len(settings.Classes)),
+		cost: make([]estimate.Quantile, len(settings.Classes)), tail: make([]tail, len(settings.Classes)),
+		mean: make([]estimate.Mean, len(settings.Classes)),
+		base: make([]estimate.Mean, len(settings.Classes)),
 		patience: make([]patience, len(settings.Classes)),
 		quota:    make([]bucket, len(settings.Tenants)),
 	}, nil
@@ -166,7 +168,7 @@
 	a.s.inFlight++
 	b.inFlight++
 	if t := b.tail[q.Class]; t.known() {
-		wait := time.Duration(float64(t.quantile) * float64(time.Second))
+		wait := time.Duration(float64(t.Quantile) * float64(time.Second))
 		b.afterFor(q, wait, func(now time.Duration) { b.stalled(now, q, index) })
 	}
 }
--- a/balance/carry.go
+++ b/balance/carry.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"brasswell/internal/estimate"
+)
 
 // Carried is what one instance leaves to the next at an upgrade, so that both together act like one. It holds no
 // requests: whoever took one answers it. Times are of the clock that both share.
@@ -44,7 +48,7 @@
 // Carry returns what the next instance is to know.
 func (b *Balancer) Carry(now time.Duration) Carried {
 	c := Carried{
-		Seen: b.seen.All(), Limit: b.limit, Retries: b.retries, Served: b.served.at(now), Warm: b.warm.at(now), ServedAt: now,
+		Seen: b.seen.All(), Limit: b.limit, Retries: b.retries, Served: b.served.At(now, rateMemory), Warm: b.warm.At(now, rateMemory), ServedAt: now,
 	}
 	for id := range b.banned {
 		c.Banned = append(c.Banned, id)
@@ -61,7 +65,7 @@
 	}
 	for i := range b.set.Classes {
 		c.Classes = append(c.Classes, CarriedClass{
-			Cost: float64(b.cost[i]), Tail: float64(b.tail[i].quantile), TailSeen: b.tail[i].seen,
+			Cost: float64(b.cost[i]), Tail: float64(b.tail[i].Quantile), TailSeen: b.tail[i].seen,
 			Mean: float64(b.mean[i]), Base: float64(b.base[i]),
 			Patience: b.patience[i].left, Votes: b.patience[i].votes,
 		})
@@ -96,12 +100,12 @@
 	}
 	b.limit = max(c.Limit, limitLeast)
 	b.retries = min(max(c.Retries, 0), retryBurst)
-	b.served = rate{per: max(c.Served, 0), last: c.ServedAt}
-	b.warm = rate{per: max(c.Warm, 0), last: c.ServedAt}
+	b.served = estimate.Rate{PerSecond: max(c.Served, 0), Last: c.ServedAt}
+	b.warm = estimate.Rate{PerSecond: max(c.Warm, 0), Last: c.ServedAt}
 	if len(c.Classes) == len(b.set.Classes) {
 		for i, k := range c.Classes {
-			b.cost[i], b.mean[i], b.base[i] = quantile(k.Cost), mean(k.Mean), mean(k.Base)
-			b.tail[i] = tail{quantile(k.Tail), k.TailSeen}
+			b.cost[i], b.mean[i], b.base[i] = estimate.Quantile(k.Cost), estimate.Mean(k.Mean), estimate.Mean(k.Base)
+			b.tail[i] = tail{estimate.Quantile(k.Tail), k.TailSeen}
 			b.patience[i] = patience{k.Patience, k.Votes}
 		}
 	}
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -31,7 +31,7 @@
 	if !slices.Contains(b.order[:b.slice], s) {
 		return false
 	}
-	perSecond := max(coldRoom*b.set.FallMultiple, 1) * b.part * b.warm.at(now) * share
+	perSecond := max(coldRoom*b.set.FallMultiple, 1) * b.part * b.warm.At(now, rateMemory) * share
 	s.coldTokens = min(s.coldTokens+perSecond*(now-s.coldAt).Seconds(), 1)
 	s.coldAt = now
 	return s.coldTokens >= 1
@@ -41,7 +41,7 @@
 // ones' budget with each that is gone, just when they are wanted; to divide by the warm alone would give all
 // of them what the last one serves.
 func (b *Balancer) notePerWarm(now time.Duration) {
-	b.warm.add(now, 1/max(b.standing(now, b.active), 1))
+	b.warm.Add(now, 1/max(b.standing(now, b.active), 1), rateMemory)
 }
 
 func (b *Balancer) spendCold(now time.Duration, s *server) {
--- a/balance/health.go
+++ b/balance/health.go
@@ -51,7 +51,7 @@
 		s.trial = false
 		return
 	case OK:
-		b.served.add(now, 1)
+		b.served.Add(now, 1, rateMemory)
 		b.notePerWarm(now)
 		if overdue {
 			s.trial = false
--- /dev/null
+++ b/internal/estimate/estimate.go
@@ -0,0 +1,52 @@
+// Package estimate follows rates, means and quantiles of a stream in a few words of memory. Each estimator is one value
+// that can be copied and carried to another process; how fast it forgets is the caller's to say. None is safe for
+// concurrent use.
+package estimate
+
+import (
+	"math"
+	"time"
+)
+
+// Rate is a smoothed count of events a second, as of the time of the last one.
+type Rate struct {
+	PerSecond float64
+	Last      time.Duration
+}
+
+// Add counts events that come now.
+func (r *Rate) Add(now time.Duration, events float64, memory time.Duration) {
+	r.PerSecond = r.At(now, memory) + events/memory.Seconds()
+	r.Last = now
+}
+
+// At is the rate now: what was counted a memory ago weighs 1/e of what is counted now.
+func (r Rate) At(now, memory time.Duration) float64 {
+	return r.PerSecond * math.Exp(-float64(now-r.Last)/float64(memory))
+}
+
+// Quantile follows a quantile of values above 0 by small steps; 0 until the first.
+type Quantile float64
+
+// Observe takes one value in: step is how much of itself the estimate moves by, shared out by q.
+func (e *Quantile) Observe(value, q, step float64) {
+	switch x := Quantile(value); {
+	case *e == 0:
+		*e = x
+	case x < *e:
+		*e *= Quantile(1 - step*(1-q))
+	default:
+		*e *= Quantile(1 + step*q)
+	}
+}
+
+// Mean is a smoothed mean of values above 0; 0 until the first.
+type Mean float64
+
+// Observe takes one value in, which weighs step.
+func (m *Mean) Observe(value, step float64) {
+	if *m == 0 {
+		*m = Mean(value)
+	}
+	*m += Mean(step) * (Mean(value) - *m)
+}
--- /dev/null
+++ b/internal/estimate/estimate_test.go
@@ -0,0 +1,53 @@
+package estimate
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func near(t *testing.T, what string, got, want, off float64) {
+	t.Helper()
+	if math.Abs(got-want) > off {
+		t.Errorf("%s is %.3f, want %.3f within %.3f", what, got, want, off)
+	}
+}
+
+func TestRate(t *testing.T) {
+	const memory = 4 * time.Second
+	var r Rate
+	now := time.Hour
+	for range 4000 {
+		r.Add(now, 0.5, memory)
+		now += 10 * time.Millisecond
+	}
+	near(t, "the rate of 100 halves a second", r.At(now, memory), 50, 0.5)
+	near(t, "the rate a memory later", r.At(now+memory, memory), 50/math.E, 0.2)
+}
+
+func TestMean(t *testing.T) {
+	var m Mean
+	m.Observe(3, 0.02)
+	near(t, "the first mean", float64(m), 3, 0)
+	for range 1000 {
+		m.Observe(7, 0.02)
+	}
+	near(t, "the mean", float64(m), 7, 1e-6)
+}
+
+func TestQuantile(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, q := range []float64{0.25, 0.95} {
+		var e Quantile
+		sum, n := 0.0, 0
+		for i := range 20000 {
+			e.Observe(rng.ExpFloat64(), q, 0.1)
+			if i >= 1000 {
+				sum, n = sum+float64(e), n+1
+			}
+		}
+		want := -math.Log(1 - q)
+		near(t, "the quantile in the mean", sum/float64(n), want, 0.15*want)
+	}
+}
