Condemn a room when its servers go unheard in a row, and clear it with one answer

When a room falls silent each proxy finds out about each of its servers by a request of its own, which hangs for 0.9 s and more: at 25 requests a second before 16 servers that takes over 2 s, in every tier. In seconds 7 and 8 of the first tier serves 33 and 100 of 230 a second; 130 servers of lower tiers go through the same at their own proxies.

Ruled out: pooled connections alone (an attempt that hangs drops the others already). At fault: health is judged by server only. Three members of a room in a row that are silent or out of reach, the last one out of reach, with nothing heard from the room and something from elsewhere in between, now put all of the room out until a trial is answered; that answer ends it for all. One bad server condemns nothing, nor do slow ones, nor the loss of our own network (tests).

Tests seen to fail with the old code.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -29,8 +29,10 @@
 	costQuantile, tailQuantile, quantileStep, minCost = 0.25, 0.95, 0.1, 0.001
 	// tailSeen attempts are needed to tell the tail.
 	tailSeen = 12
-	// Tries whose patience is within patienceSlack of their class's usual one may be of any age; votesMost is
-	// how many tries with another patience it takes to unseat the usual one.
+	// A client gives each try but its last the same patience, and the last what is left. The usual
+	// patience is that of most tries served: what bad callers claim is never served, so it does not count.
+	// Tries whose patience is within patienceSlack of their class's usual one may be of any age; votesMost
+	// is how many tries with another patience it takes to unseat the usual one.
 	patienceSlack, votesMost = 5 * time.Millisecond, 50
 	// nearLimit of the admission limit is where late repeats are turned away.
 	nearLimit = 0.9
@@ -50,7 +52,7 @@
 	// A try with the usual patience may be the first. Any other is its client's last: it has all that is left
 	// of the client's patience, which tells how much has passed.
 	aim := c.Aim
-	if !b.patience[q.Class].usual(q.Left) {
+	if !b.patience[q.Class].Near(q.Left, patienceSlack) {
 		aim -= c.GiveUp - q.Left
 	}
 	if aim > 0 && (c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll) {
@@ -113,7 +115,7 @@
 	took := r.Latency.Seconds()
 	if r.Outcome == OK {
 		b.cost[q.Class].Observe(max(took, minCost), costQuantile, quantileStep)
-		b.patience[q.Class].observe(q.Left)
+		b.patience[q.Class].Observe(q.Left, patienceSlack, votesMost)
 		b.mean[q.Class].Observe(took, meanStep)
 	}
 	if t := &b.tail[q.Class]; r.Outcome == OK || t.known() && took > float64(t.Quantile) {
@@ -201,27 +203,3 @@
 	wait = max(wait, min(stayLeast, b.set.MaxRetryAfter))
 	return time.Duration((0.5 + 0.5*b.random()) * float64(wait))
 }
-
-// patience holds the usual patience of a class's tries, found by a majority vote (Boyer and Moore) over those
-// served. A client gives each try but its last the same patience, and the last what is left. What bad callers
-// claim is never served, so it does not count.
-type patience struct {
-	left  time.Duration
-	votes int
-}
-
-func (p *patience) observe(left time.Duration) {
-	switch {
-	case p.votes == 0:
-		p.left, p.votes = left, 1
-	case p.usual(left):
-		p.votes = min(p.votes+1, votesMost)
-	default:
-		p.votes--
-	}
-}
-
-// usual says whether a try's patience tells nothing of its age; none does before any is known.
-func (p *patience) usual(left time.Duration) bool {
-	return p.votes == 0 || (left-p.left).Abs() <= patienceSlack
-}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -67,17 +67,18 @@
 	inFlight int                 // requests with an attempt out
 	limit    float64             // how many of them are admitted
 	tail     []tail              // by class, the time after which an attempt is late for its class
-	cost     []estimate.Quantile // by class, a low quantile of its answers' seconds, which waiting distorts little
+	cost     []estimate.Quantile // by class, a low quantile of its answers' seconds
 	mean     []estimate.Mean     // by class, its answers' mean seconds
 	base     []estimate.Mean     // by class, the same of attempts that met no crowd
-	patience []patience          // by class, how long a client's try may take
-	quota    []bucket            // by tenant
+	patience []estimate.Majority // by class, how long a client's try may take
+	quota    []estimate.Bucket   // by tenant
 	retries  float64
 	part     float64       // of what an instance may do; less than 1 beside another at an upgrade
 	served   estimate.Rate // requests answered in time by servers
 	warm     estimate.Rate // of these, what one warm member answers
 	newest   time.Duration // when the youngest of the attempts that were answered was sent
 	heard    time.Duration // when the last answer came
+	rooms    map[int]*room // by zone
 
 	timers    map[uint64]func(now time.Duration)
 	lastTimer uint64
@@ -93,11 +94,12 @@
 		set: settings, host: host, rng: rand.NewPCG(seed, 0), seen: recent.New(seenMost),
 		servers: map[string]*server{}, banned: map[string]bool{}, requests: map[string]*request{},
 		timers: map[uint64]func(time.Duration){}, retries: retryBurst / 2, limit: limitFirst, part: 1,
-		cost: make([]estimate.Quantile, len(settings.Classes)), tail: make([]tail, len(settings.Classes)),
-		mean: make([]estimate.Mean, len(settings.Classes)),
-		base: make([]estimate.Mean, len(settings.Classes)),
-		patience: make([]patience, len(settings.Classes)),
-		quota:    make([]bucket, len(settings.Tenants)),
+		rooms: map[int]*room{},
+		cost:  make([]estimate.Quantile, len(settings.Classes)), tail: make([]tail, len(settings.Classes)),
+		mean:     make([]estimate.Mean, len(settings.Classes)),
+		base:     make([]estimate.Mean, len(settings.Classes)),
+		patience: make([]estimate.Majority, len(settings.Classes)),
+		quota:    make([]estimate.Bucket, len(settings.Tenants)),
 	}, nil
 }
 
@@ -256,8 +258,9 @@
 	}
 	switch r.Outcome {
 	case OK, Failed, QueueFull, Rejected:
-		a.s.answered, a.s.away = now, false
+		a.s.answered = now
 		b.newest, b.heard = max(b.newest, a.at), now
+		b.backAgain(now, a.s)
 	}
 	b.judge(now, a.s, r.Outcome, b.overdue(q, a.s, r))
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -906,29 +906,6 @@
 	}
 }
 
-// TestUsualPatienceIsUnseated: a few other tries do not move the usual patience, votesMost and more do.
-func TestUsualPatienceIsUnseated(t *testing.T) {
-	var p patience
-	if !p.usual(time.Second) || !p.usual(0) {
-		t.Fatal("before any try is known, one tells its age")
-	}
-	for range 3 * votesMost {
-		p.observe(900 * ms)
-	}
-	for i := range votesMost - 1 {
-		p.observe(time.Duration(i) * 20 * ms)
-	}
-	if !p.usual(900*ms) || p.usual(300*ms) {
-		t.Fatalf("after %d others the usual patience is %v", votesMost-1, p.left)
-	}
-	for range votesMost {
-		p.observe(300 * ms)
-	}
-	if !p.usual(300*ms) || p.usual(900*ms) {
-		t.Fatalf("after a change of the callers it is %v", p.left)
-	}
-}
-
 // answers plays n answers, each while crowd requests are out, and returns the limit's lowest and last value.
 func answers(f *fake, n, crowd int, took func(i int, server string) time.Duration) (lowest, last float64) {
 	lowest = f.b.limit
--- a/balance/carry.go
+++ b/balance/carry.go
@@ -67,11 +67,11 @@
 		c.Classes = append(c.Classes, CarriedClass{
 			Cost: float64(b.cost[i]), Tail: float64(b.tail[i].Quantile), TailSeen: b.tail[i].seen,
 			Mean: float64(b.mean[i]), Base: float64(b.base[i]),
-			Patience: b.patience[i].left, Votes: b.patience[i].votes,
+			Patience: b.patience[i].Value, Votes: b.patience[i].Votes,
 		})
 	}
 	for _, q := range b.quota {
-		c.Quota = append(c.Quota, q.tokens)
+		c.Quota = append(c.Quota, q.Tokens)
 	}
 	return c
 }
@@ -106,12 +106,12 @@
 		for i, k := range c.Classes {
 			b.cost[i], b.mean[i], b.base[i] = estimate.Quantile(k.Cost), estimate.Mean(k.Mean), estimate.Mean(k.Base)
 			b.tail[i] = tail{estimate.Quantile(k.Tail), k.TailSeen}
-			b.patience[i] = patience{k.Patience, k.Votes}
+			b.patience[i] = estimate.Majority{Value: k.Patience, Votes: k.Votes}
 		}
 	}
 	if len(c.Quota) == len(b.quota) {
 		for i, tokens := range c.Quota {
-			b.quota[i] = bucket{tokens, now, true}
+			b.quota[i] = estimate.Bucket{Tokens: tokens, Last: now, Known: true}
 		}
 	}
 	b.cut(now)
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -211,3 +211,88 @@
 		t.Error("not served once the server is back")
 	}
 }
+
+// TestRoomIsCondemnedTogether: two servers of a room go silent and a third cannot be reached, while the other room
+// answers. The rest of the room is out without a request of its own lost there; all are back once one has answered.
+func TestRoomIsCondemnedTogether(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(16)) // rooms alternate
+	f.serveAs(200, func(string) Outcome { return OK })
+	lost := map[string]bool{}
+	for _, s := range f.b.slots {
+		if s.entry.Zone == 1 {
+			lost[s.id] = true
+		}
+	}
+	bad := 0
+	f.serveAs(90, func(server string) Outcome {
+		if lost[server] {
+			bad++
+			return ConnectError
+		}
+		return OK
+	})
+	if out := f.out(); len(out) != 8 || bad > roomLost {
+		t.Errorf("%v ejected after %d attempts that did not connect, want 8 after %d", out, bad, roomLost)
+	}
+	f.advance(f.now + ejectMost)
+	f.serveAs(60, func(string) Outcome { return OK })
+	if out := f.out(); len(out) != 0 {
+		t.Errorf("%v still ejected once the room answers", out)
+	}
+}
+
+// TestOneBadServerCondemnsNoRoom: a server that never connects in a room that is well.
+func TestOneBadServerCondemnsNoRoom(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(16))
+	f.serveAs(2000, func(server string) Outcome {
+		if server == "s003" {
+			return ConnectError
+		}
+		return OK
+	})
+	if out := f.out(); len(out) != 1 || out[0] != "s003" {
+		t.Errorf("%v ejected, want s003", out)
+	}
+}
+
+// TestNoRoomIsCondemnedAlone: all servers are of one room, and for a moment none can be reached. Nobody elsewhere shows
+// that the network is well, so those not tried stay in turn.
+func TestNoRoomIsCondemnedAlone(t *testing.T) {
+	list := fleet(16)
+	for i := range list {
+		list[i].Zone = 0
+	}
+	f := newFake(t, testSettings(), list)
+	f.serveAs(200, func(string) Outcome { return OK })
+	failed := 0
+	f.serveAs(1, func(string) Outcome {
+		if failed++; failed > roomLost {
+			return OK
+		}
+		return ConnectError
+	})
+	if out := f.out(); failed != roomLost+1 || len(out) != roomLost {
+		t.Errorf("%v ejected after %d that did not connect", out, failed-1)
+	}
+}
+
+// TestSlowRoomIsNotLost: servers that are silent for longer than nearly all answers take, and answer in the end, condemn
+// no room, however many they are.
+func TestSlowRoomIsNotLost(t *testing.T) {
+	f := newFake(t, testSettings(), fleet(16))
+	f.serveAs(200, func(string) Outcome { return OK })
+	for i := range 40 { // out at both rooms; those of one room are left hanging
+		id := fmt.Sprint("slow", i)
+		f.submit(id, 0)
+		if f.b.servers[f.sent[id][0]].entry.Zone == 0 {
+			f.advance(f.now + 5*ms)
+			f.result(id, 0, OK)
+		}
+	}
+	f.advance(f.now + 150*ms)
+	for _, s := range f.b.slots {
+		if s.ejected > 0 && s.failRun < ejectRun {
+			t.Errorf("%s is ejected with %d signs of its own against it", s.id, s.failRun)
+		}
+	}
+}
--- a/balance/health.go
+++ b/balance/health.go
@@ -73,7 +73,9 @@
 	s.trial = false
 	s.failRate += failMemory * (failed - s.failRate)
 	if failed > 0 {
-		s.away = s.away || o == ConnectError
+		if o == ConnectError {
+			b.unheard(now, s, true)
+		}
 		b.considerEjection(now, s, o == ConnectError)
 	}
 }
@@ -137,5 +139,8 @@
 	}
 	a.s.stalledAt = now
 	a.s.failRun++
+	if a.s.answered <= a.at {
+		b.unheard(now, a.s, false)
+	}
 	b.considerEjection(now, a.s, false)
 }
--- a/balance/quota.go
+++ b/balance/quota.go
@@ -15,28 +15,8 @@
 		return b.set.OverShareWorth // nobody's quota
 	}
 	perSecond := b.set.Tenants[tenant].QuotaPerSecond / float64(b.set.Instances)
-	if b.quota[tenant].take(now, perSecond, perSecond*quotaBurst.Seconds()) {
+	if b.quota[tenant].Take(now, perSecond, perSecond*quotaBurst.Seconds()) {
 		return 1
 	}
 	return b.set.OverShareWorth
 }
-
-// bucket is a token bucket that starts full.
-type bucket struct {
-	tokens float64
-	last   time.Duration
-	known  bool
-}
-
-func (t *bucket) take(now time.Duration, perSecond, most float64) bool {
-	if !t.known {
-		t.known, t.tokens = true, most
-	}
-	t.tokens = min(t.tokens+perSecond*(now-t.last).Seconds(), most)
-	t.last = now
-	if t.tokens < 1 {
-		return false
-	}
-	t.tokens--
-	return true
-}
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -50,3 +50,48 @@
 	}
 	*m += Mean(step) * (Mean(value) - *m)
 }
+
+// Majority finds the duration that most of those observed lie near, by a majority vote (Boyer and Moore) in which no value
+// gathers more than some votes, so that another can unseat it.
+type Majority struct {
+	Value time.Duration
+	Votes int
+}
+
+// Observe takes one value in; Votes stays at most.
+func (m *Majority) Observe(value, slack time.Duration, most int) {
+	switch {
+	case m.Votes == 0:
+		m.Value, m.Votes = value, 1
+	case m.Near(value, slack):
+		m.Votes = min(m.Votes+1, most)
+	default:
+		m.Votes--
+	}
+}
+
+// Near says whether a value lies within slack of the majority's; all do before there is one.
+func (m *Majority) Near(value, slack time.Duration) bool {
+	return m.Votes == 0 || (value-m.Value).Abs() <= slack
+}
+
+// Bucket is a token bucket that starts full.
+type Bucket struct {
+	Tokens float64
+	Last   time.Duration
+	Known  bool // it has been used before
+}
+
+// Take takes a token out if there is one, after filling up at a rate to the most that it holds.
+func (t *Bucket) Take(now time.Duration, perSecond, most float64) bool {
+	if !t.Known {
+		t.Known, t.Tokens = true, most
+	}
+	t.Tokens = min(t.Tokens+perSecond*(now-t.Last).Seconds(), most)
+	t.Last = now
+	if t.Tokens < 1 {
+		return false
+	}
+	t.Tokens--
+	return true
+}
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -51,3 +51,45 @@
 		near(t, "the quantile in the mean", sum/float64(n), want, 0.15*want)
 	}
 }
+
+// TestMajorityIsUnseated: fewer others than it has votes leave it, as many and one more do not.
+func TestMajorityIsUnseated(t *testing.T) {
+	const slack, most = 5 * time.Millisecond, 50
+	var m Majority
+	if !m.Near(0, slack) || !m.Near(time.Hour, slack) {
+		t.Fatal("there is a majority of nothing")
+	}
+	for range 3 * most {
+		m.Observe(time.Second, slack, most)
+	}
+	for i := range most - 1 {
+		m.Observe(time.Duration(i)*20*time.Millisecond, slack, most)
+	}
+	if !m.Near(time.Second+slack, slack) || m.Near(300*time.Millisecond, slack) {
+		t.Fatalf("after %d others it is %v", most-1, m.Value)
+	}
+	for range most {
+		m.Observe(300*time.Millisecond, slack, most)
+	}
+	if !m.Near(300*time.Millisecond, slack) || m.Near(time.Second, slack) {
+		t.Fatalf("after a change it is %v", m.Value)
+	}
+}
+
+func TestBucket(t *testing.T) {
+	var b Bucket
+	taken := func(now time.Duration) (n int) {
+		for b.Take(now, 10, 4) {
+			n++
+		}
+		return n
+	}
+	for _, c := range []struct {
+		at   time.Duration
+		want int
+	}{{time.Hour, 4}, {time.Hour, 0}, {time.Hour + 250*time.Millisecond, 2}, {2 * time.Hour, 4}} {
+		if got := taken(c.at); got != c.want {
+			t.Errorf("at %v it gives %d, want %d", c.at, got, c.want)
+		}
+	}
+}
