--- a/balance/admission.go
+++ b/balance/admission.go
@@ -82,10 +82,8 @@
 // the others, and must not hold their places until it times out.
 func (b *Balancer) load() float64 {
 	load := b.inFlight
-	for _, s := range b.order {
-		if s.out() {
-			load -= s.inFlight
-		}
+	for _, s := range b.stuck {
+		load -= s.inFlight
 	}
 	return float64(load)
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,6 +59,7 @@
 	slice    int             // how many of order are the own slice
 	panicked bool            // the panic threshold is reached
 	active   []*server       // the slice, with a spare for each lost member
+	stuck    []*server       // those that are out and still have requests of ours
 	turn     int
 
 	requests map[string]*request
--- a/balance/subset.go
+++ b/balance/subset.go
@@ -23,6 +23,12 @@
 // in the list, where turns pass over them until they are sound again.
 func (b *Balancer) refresh() {
 	b.active = append(b.active[:0], b.order[:b.slice]...)
+	b.stuck = b.stuck[:0]
+	for _, s := range b.order {
+		if s.out() && s.inFlight > 0 {
+			b.stuck = append(b.stuck, s)
+		}
+	}
 	lost := 0
 	for _, s := range b.active {
 		if s.out() {
--- a/internal/count/count.go
+++ b/internal/count/count.go
@@ -59,8 +59,8 @@
 
 // News is a change of the server list as the proxies heard of it.
 type News struct {
-	Seq         int64   `json:"seq"`
-	Proxies     int     `json:"proxies"`      // that hold it or a later one
+	Seq     int64 `json:"seq"`
+	Proxies int   `json:"proxies"` // that hold it or a later one
 	// First and Last are when the first and the last proxy got just this version, in seconds from the first line.
 	First float64 `json:"first"`
 	Last  float64 `json:"last"`
