Let the fleet's tests share one clock and one way to serve, and count by the host's words

Read again: bed_test.go had crowd_test.go's clock a second time, replaced() serveAs's loop, and internal/count the names of lines that host and discovery define. One piece serves each now.

--- a/balance/bed_test.go
+++ b/balance/bed_test.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -11,11 +10,8 @@
 // bed plays many instances before one tier of servers, with a list that each of them hears late. Time passes by events
 // alone, so equal seeds give equal days. It counts what all of them do together.
 type bed struct {
-	now     time.Duration
-	from    time.Duration
+	day
 	rng     *rand.Rand
-	events  due
-	seq     int
 	hosts   []*bedHost
 	nodes   map[string]*bedNode
 	classes []Class
@@ -61,7 +57,7 @@
 
 func newBed(t testing.TB, instances, servers int, seed uint64) *bed {
 	t.Helper()
-	d := &bed{now: time.Hour, from: time.Hour, rng: rand.New(rand.NewPCG(seed, 3)), nodes: map[string]*bedNode{}}
+	d := &bed{day: newDay(), rng: rand.New(rand.NewPCG(seed, 3)), nodes: map[string]*bedNode{}}
 	list := fleet(servers)
 	for _, e := range list {
 		d.nodes[e.ID] = &bedNode{entry: e}
@@ -81,20 +77,6 @@
 	return d
 }
 
-func (d *bed) in(wait time.Duration, do func()) {
-	d.seq++
-	heap.Push(&d.events, happening{d.now + max(wait, 0), d.seq, do})
-}
-
-func (d *bed) run(until time.Duration) {
-	for len(d.events) > 0 && d.events[0].at <= d.from+until {
-		e := heap.Pop(&d.events).(happening)
-		d.now = e.at
-		e.do()
-	}
-	d.now = d.from + until
-}
-
 func (d *bed) second() *bedSecond {
 	n := int((d.now - d.from) / time.Second)
 	for len(d.seconds) <= n {
--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -11,17 +11,14 @@
 // crowd plays a module against servers with queues and clients who come again: time passes by events alone, so
 // equal seeds give equal days.
 type crowd struct {
-	now    time.Duration
-	b      *Balancer
-	rng    *rand.Rand
-	events due
-	seq    int
-	nodes  map[string]*node
-	tries  map[string]*oneTry
-	days   []second // what became of the clients that came in each second
-	from   time.Duration
-	logs   []string
-	deaf   bool // servers work on what nobody waits for any more
+	day
+	b     *Balancer
+	rng   *rand.Rand
+	nodes map[string]*node
+	tries map[string]*oneTry
+	days  []second // what became of the clients that came in each second
+	logs  []string
+	deaf  bool // servers work on what nobody waits for any more
 }
 
 // second counts the clients that first came in one second of the day.
@@ -81,18 +78,28 @@
 	return last
 }
 
-func (c *crowd) in(d time.Duration, do func()) {
-	c.seq++
-	heap.Push(&c.events, happening{c.now + max(d, 0), c.seq, do})
+// day is a clock that events alone move on, from the time at which it begins.
+type day struct {
+	now, from time.Duration
+	events    due
+	seq       int
+}
+
+// newDay begins at no special time.
+func newDay() day { return day{now: time.Hour, from: time.Hour} }
+
+func (d *day) in(wait time.Duration, do func()) {
+	d.seq++
+	heap.Push(&d.events, happening{d.now + max(wait, 0), d.seq, do})
 }
 
-func (c *crowd) run(until time.Duration) {
-	for len(c.events) > 0 && c.events[0].at <= c.from+until {
-		e := heap.Pop(&c.events).(happening)
-		c.now = e.at
+func (d *day) run(until time.Duration) {
+	for len(d.events) > 0 && d.events[0].at <= d.from+until {
+		e := heap.Pop(&d.events).(happening)
+		d.now = e.at
 		e.do()
 	}
-	c.now = c.from + until
+	d.now = d.from + until
 }
 
 // crowdCores is how many requests a node works on at a time.
@@ -101,7 +108,7 @@
 func newCrowd(t testing.TB, set Settings, servers int, seed uint64) *crowd {
 	t.Helper()
 	c := &crowd{
-		now: time.Hour, from: time.Hour, rng: rand.New(rand.NewPCG(seed, 1)),
+		day: newDay(), rng: rand.New(rand.NewPCG(seed, 1)),
 		nodes: map[string]*node{}, tries: map[string]*oneTry{},
 	}
 	var err error
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -40,32 +40,21 @@
 // 2 s, and returns what one cold server was sent in the second second.
 func replaced(t *testing.T, gone, fresh int) (perCold float64) {
 	f := newFake(t, testSettings(), fleet(10))
-	play := func(n int) map[string]int {
-		sent := map[string]int{}
-		for range n {
-			id := fmt.Sprint("r", len(f.sent))
-			f.submit(id, 0)
-			f.advance(f.now + 10*ms)
-			for i, s := range f.sent[id] {
-				sent[s]++
-				f.result(id, i, OK)
-			}
-		}
-		return sent
-	}
-	play(1000)
+	ok := func(string) Outcome { return OK }
+	f.serveAs(1000, ok)
 	list := fleet(10)[gone:]
 	for i := range fresh {
 		list = append(list, Entry{ID: fmt.Sprintf("t%03d", i), Boot: f.now})
 	}
 	f.b.Update(f.now, Full, list)
-	play(100)
+	f.serveAs(100, ok)
 	total := 0
-	for id, n := range play(100) {
-		if id[0] == 't' {
-			total += n
+	f.serveAs(100, func(server string) Outcome {
+		if server[0] == 't' {
+			total++
 		}
-	}
+		return OK
+	})
 	return float64(total) / float64(fresh)
 }
 
--- a/internal/count/count.go
+++ b/internal/count/count.go
@@ -8,6 +8,9 @@
 	"math"
 	"slices"
 	"time"
+
+	"brasswell/internal/discovery"
+	"brasswell/internal/host"
 )
 
 // Line is one line of a proxy's log.
@@ -18,14 +21,6 @@
 	Fields map[string]string
 }
 
-// The lines that are counted, as the proxy words them (host.Trace... and discovery.TraceCall).
-const (
-	attemptLine  = "attempt"
-	unservedLine = "unserved"
-	listLine     = "list"
-	callLine     = "call"
-)
-
 // mostSeconds bounds the span that is counted: a stray date would otherwise make an empty day of every second before it.
 const mostSeconds = 24 * 60 * 60
 
@@ -87,12 +82,12 @@
 // Add takes one line; those of other kinds count for nothing.
 func (f *Fleet) Add(l Line) {
 	switch l.Msg {
-	case attemptLine, unservedLine, listLine, callLine:
+	case host.TraceAttempt, host.TraceUnserved, host.TraceList, discovery.TraceCall:
 	default:
 		return
 	}
 	e := event{Line: l, at: l.At}
-	if took, err := time.ParseDuration(l.Fields["took_ms"] + "ms"); err == nil && l.Msg == attemptLine {
+	if took, err := time.ParseDuration(l.Fields["took_ms"] + "ms"); err == nil && l.Msg == host.TraceAttempt {
 		e.at = l.At.Add(-took)
 	}
 	f.lines = append(f.lines, e)
@@ -134,7 +129,7 @@
 		}
 		s := &r.Seconds[int(since)]
 		switch e.Msg {
-		case callLine:
+		case discovery.TraceCall:
 			s.Calls++
 			if e.Fields["error"] != "<nil>" && e.Fields["error"] != "" {
 				s.Broken++
@@ -152,13 +147,13 @@
 				}
 				news[seq].Last = since
 			}
-		case unservedLine:
+		case host.TraceUnserved:
 			if e.Fields["refused"] == "true" {
 				s.Refused++
 			} else {
 				s.Failed++
 			}
-		case attemptLine:
+		case host.TraceAttempt:
 			id, outcome := e.Fields["backend"], e.Fields["outcome"]
 			n, ok := number(e.Fields["n"])
 			if !ok || id == "" || outcome == "" {
--- a/internal/count/read.go
+++ b/internal/count/read.go
@@ -21,7 +21,7 @@
 func Read(r io.Reader, take func(Line)) (skipped int, err error) {
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, 64<<10), maxLine)
-	for n := 1; s.Scan(); n++ {
+	for s.Scan() {
 		l, ok := parse(s.Text())
 		if !ok {
 			skipped++
