Relay WebSocket channels frame by frame, behind a plan that lets them in and moves them

Requests for a channel went on as ordinary GETs, or hung. With [channels] in the operator file an upgrade passes balance like a request of its class (one final outcome: 101, refused with Retry-After and a ticket, or failed) and is then relayed. Without the section nothing changes.

internal/channel/plan decides without I/O: who is let in and when others come again, per-server rates with the cold share, paced moves off servers that drain, pings, slow frames. internal/channel/frame follows the frames in place; handshake checks both halves; ticket seals a place in the line.

Seen by the tests first and mended: a frame that begins right after a look was found a ping interval late; an answer that is no HTTP held its attempt to the deadline; a slow reader that moves passed for dead; what an end sends after its Close was read without bound.

--- a/balance/subset.go
+++ b/balance/subset.go
@@ -145,3 +145,6 @@
 	}
 	return order
 }
+
+// InTurns says whether turns go to a server now.
+func (b *Balancer) InTurns(id string) bool { return slices.Contains(b.active, b.servers[id]) }
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -54,7 +54,7 @@
 
 func (c *conn) roundTrip(ctx context.Context, m *Message, left time.Duration) (*http.Response, error) {
 	header := maps.Clone(m.Header)
-	header.Set("X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	setRemaining(header, left)
 	c.class = m.Class
 	req := &http.Request{Method: m.Method, URL: m.target(c.endpoint.Address), Host: m.Host, Header: header, Body: http.NoBody}
 	if s := m.Body.Stream(); s != nil {
@@ -273,3 +273,8 @@
 	r.reader.Close()
 	return nil
 }
+
+// setRemaining tells a backend how long the proxy will wait.
+func setRemaining(header http.Header, left time.Duration) {
+	header.Set("X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+}
--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -42,6 +42,8 @@
 	Body   []byte
 	Length int64 // of the whole body; -1 if it is not known yet
 	Rest   *Rest // what follows Body; nil if that is all
+	// Channel is set, and nothing else but Header, where the backend changed to the WebSocket protocol.
+	Channel *Channel
 }
 
 // Rest is what is still to come of an answer. It is for one goroutine, which must close it.
@@ -115,8 +117,8 @@
 	c.watchRest()
 	if resp.StatusCode != http.StatusOK {
 		outcome := balance.Failed
-		switch unavailable := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout; {
-		case unavailable && resp.Header.Get("X-Turned-Away") == "1":
+		switch {
+		case turnedAway(resp):
 			outcome = balance.QueueFull
 		case resp.StatusCode >= 400 && resp.StatusCode < 500:
 			outcome = balance.Rejected
@@ -253,3 +255,9 @@
 	}
 	return balance.Canceled
 }
+
+// turnedAway says whether an answer proves that the request never ran.
+func turnedAway(resp *http.Response) bool {
+	unavailable := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
+	return unavailable && resp.Header.Get("X-Turned-Away") == "1"
+}
--- a/internal/backends/message.go
+++ b/internal/backends/message.go
@@ -5,6 +5,7 @@
 	"net/url"
 
 	"brasswell/internal/body"
+	"brasswell/internal/channel/handshake"
 )
 
 // Message is what a request's attempts carry to backends. Attempts share it, so it is never written to.
@@ -13,5 +14,6 @@
 	Method, URI, Host string
 	URL               *url.URL
 	Header            http.Header
-	Body              *body.Body // a stream's readers follow one another, one for each attempt
+	Offer             *handshake.Offer // of a request for a channel; nil for all others
+	Body              *body.Body       // a stream's readers follow one another, one for each attempt
 }
--- /dev/null
+++ b/internal/channel/channel.go
@@ -0,0 +1,301 @@
+// Package channel relays WebSocket channels (RFC 6455) between callers and servers. The bytes go on as they came; the
+// frames in them are followed, so that a ping or a Close can be put in between, and what breaks the protocol ends the
+// channel with the right code on both sides. It decides nothing: plan does.
+package channel
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"brasswell/internal/channel/frame"
+	"brasswell/internal/channel/handshake"
+	"brasswell/internal/channel/plan"
+	"brasswell/internal/channel/ticket"
+)
+
+// Table is the channels of one proxy. It is safe for concurrent use.
+type Table struct {
+	options Options
+	log     *slog.Logger
+	gate    *gate
+	sealer  *ticket.Sealer
+	started time.Time
+	unix    time.Duration // Unix time at started
+
+	mu     sync.Mutex
+	plan   *plan.Plan
+	relays map[plan.ID]*relay
+	last   plan.ID
+	ended  bool // no channel opens any more
+
+	counts counts
+	stop   context.CancelFunc
+	done   sync.WaitGroup // the ticks and the relays
+}
+
+// counts are what figures tell, from 0 at the start.
+type counts struct{ opened, refused, moved, cut, broken, toClients, toServers atomic.Int64 }
+
+// Cold is what the platform says of servers that have just started.
+type Cold struct {
+	From   float64 // share of the capacity at the start
+	WarmUp time.Duration
+}
+
+// New returns a table without channels and begins to tick; Close ends it.
+func New(o Options, cold Cold, seed uint64, log *slog.Logger) (*Table, error) {
+	var key []byte
+	if o.Key != "" {
+		var err error
+		if key, err = os.ReadFile(o.Key); err != nil {
+			return nil, fmt.Errorf("channels: key: %w", err)
+		}
+		if len(key) < leastKey {
+			return nil, fmt.Errorf("channels: key: %s holds %d bytes, and must hold %d at least", o.Key, len(key), leastKey)
+		}
+	}
+	now := time.Now()
+	t := &Table{
+		options: o, log: log, gate: newGate(o.Memory), sealer: ticket.NewSealer(key),
+		started: now, unix: time.Duration(now.UnixNano()), relays: map[plan.ID]*relay{},
+		plan: plan.New(plan.Settings{
+			Rate: o.Rate, NodeRate: o.NodeRate, MostWait: o.MostWait, Channels: o.Most, TenantChannels: o.Tenant,
+			Window: o.MoveWindow, CloseWithin: o.CloseTimeout, PingEvery: o.PingEvery, PongWithin: o.PongTimeout,
+			IdleEnd: o.IdleTimeout, FrameGrace: o.FrameGrace, FrameRate: o.FrameRate,
+			ColdFrom: cold.From, WarmUp: cold.WarmUp,
+		}, seed),
+	}
+	var ctx context.Context
+	ctx, t.stop = context.WithCancel(context.Background())
+	t.done.Go(func() { t.tick(ctx) })
+	return t, nil
+}
+
+const leastKey = 16
+
+// now is Unix time, as the list's start times are, but never steps back.
+func (t *Table) now() time.Duration { return t.unix + time.Since(t.started) }
+
+func (t *Table) tick(ctx context.Context) {
+	ticker := time.NewTicker(plan.TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		t.mu.Lock()
+		actions := t.plan.Tick(t.now(), t.look)
+		due := make([]*relay, len(actions))
+		for i, a := range actions {
+			due[i] = t.relays[a.ID]
+		}
+		t.mu.Unlock()
+		for i, a := range actions {
+			switch a.Kind {
+			case plan.Go, plan.Now:
+				t.counts.moved.Add(1)
+			case plan.Cut, plan.Dead, plan.Slow:
+				t.counts.cut.Add(1)
+				t.log.Debug("channel ended", "server", due[i].node, "reason", a.Text, "side", sideNames[a.Side])
+			}
+			due[i].do(a)
+		}
+	}
+}
+
+var sideNames = [plan.Sides]string{plan.Client: "client", plan.Server: "server"}
+
+// look says how a channel stands; t.mu is held.
+func (t *Table) look(id plan.ID) (a [plan.Sides]plan.Activity) {
+	for side, e := range t.relays[id].ends {
+		a[side] = plan.Activity{
+			Heard: time.Duration(e.heard.Load()), Spoke: time.Duration(e.spoke.Load()),
+			FrameSince: time.Duration(e.since.Load()), FrameBytes: e.moved.Load(), Held: e.blocked.Load(),
+		}
+	}
+	return a
+}
+
+// Nodes takes in the servers that upgrades may go to, and those that are not to be used any more.
+func (t *Table) Nodes(nodes []plan.Node) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.plan.Nodes(t.now(), nodes)
+}
+
+// Admission is what becomes of a request for a channel.
+type Admission struct {
+	plan.Answer
+	Seal   string // the ticket to show next time; "" for one that is let in
+	Tenant int
+	ticket *ticket.Ticket
+	name   string
+}
+
+// Ask says whether a request for a channel is let in. GivenUp or Open must follow one that is. name is the tenant's, and
+// seal what the client showed.
+func (t *Table) Ask(tenant int, name, seal string) Admission {
+	a := Admission{Tenant: tenant, name: name}
+	if seal != "" {
+		if shown, err := t.sealer.Open(seal, name); err == nil {
+			a.ticket = &shown
+		}
+	}
+	t.mu.Lock()
+	a.Answer = t.plan.Ask(t.now(), tenant, a.ticket)
+	t.mu.Unlock()
+	if !a.Admitted {
+		t.counts.refused.Add(1)
+		a.Seal = t.sealer.Seal(a.Answer.Ticket, name)
+	}
+	return a
+}
+
+// GivenUp takes in that an upgrade which was let in did not become a channel.
+func (t *Table) GivenUp(a Admission) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.plan.GivenUp(a.Tenant)
+}
+
+// Refused says when one may come again that was let in and then refused; GivenUp must have been called.
+func (t *Table) Refused(a Admission) Admission {
+	t.counts.refused.Add(1)
+	t.mu.Lock()
+	a.Answer = t.plan.Refused(t.now(), a.ticket)
+	t.mu.Unlock()
+	a.Seal = t.sealer.Seal(a.Answer.Ticket, a.name)
+	return a
+}
+
+// MayOpen says whether an upgrade may go to a server now, and counts it if so.
+func (t *Table) MayOpen(server string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.plan.MayOpen(t.now(), server)
+}
+
+// Ends are the two sockets of a channel, and what has come behind each half of the handshake.
+type Ends struct {
+	Client, Server *net.TCPConn
+	Behind         []byte // the server's answer
+}
+
+// Open relays a channel whose 101 the client has been sent, until it is over; it does not wait for that. Both sockets
+// belong to the table from now on; over is called once when both are closed.
+func (t *Table) Open(a Admission, server string, ends Ends, agreed handshake.Agreement, over func()) {
+	r := &relay{table: t, node: server, tenant: a.Tenant, over: over}
+	rules := rulesOf(agreed, &t.options)
+	var errs [plan.Sides]error
+	r.ends[plan.Client], errs[plan.Client] = newEnd(plan.Client, ends.Client, nil, rules[plan.Client], t)
+	r.ends[plan.Server], errs[plan.Server] = newEnd(plan.Server, ends.Server, ends.Behind, rules[plan.Server], t)
+	t.mu.Lock()
+	if t.ended || errs[plan.Client] != nil || errs[plan.Server] != nil {
+		t.plan.GivenUp(a.Tenant)
+		t.mu.Unlock()
+		ends.Client.Close()
+		ends.Server.Close()
+		r.over()
+		return
+	}
+	t.last++
+	r.id = t.last
+	r.ping = newPing(r.id)
+	t.relays[r.id] = r
+	t.plan.Opened(t.now(), r.id, server, a.Tenant)
+	t.counts.opened.Add(1)
+	t.done.Add(1)
+	t.mu.Unlock()
+	r.start()
+}
+
+// closed takes in that a relay is over.
+func (t *Table) closed(r *relay) {
+	t.mu.Lock()
+	t.counts.toServers.Add(r.ends[plan.Client].bytes.Load())
+	t.counts.toClients.Add(r.ends[plan.Server].bytes.Load())
+	delete(t.relays, r.id)
+	t.plan.Closed(r.id)
+	t.mu.Unlock()
+	r.over()
+	t.done.Done()
+}
+
+// broke notes that an end broke the protocol.
+func (t *Table) broke(r *relay, e *end, v *frame.Violation) {
+	t.counts.broken.Add(1)
+	t.log.Debug("channel broken", "server", r.node, "side", sideNames[e.side], "code", int(v.Code), "reason", v.Text)
+}
+
+// Leave makes all channels move off, and lets none in any more.
+func (t *Table) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.plan.Leave(t.now(), t.options.RestartWindow)
+}
+
+// Len is how many channels are open.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.relays)
+}
+
+// LeaveWithin is how long after Leave channels may still be open.
+func (t *Table) LeaveWithin() time.Duration {
+	return t.options.RestartWindow + t.options.CloseTimeout + 4*plan.TickEvery
+}
+
+// Close cuts what is open, and returns once nothing runs.
+func (t *Table) Close() {
+	t.mu.Lock()
+	t.ended = true
+	open := slices.Collect(maps.Values(t.relays))
+	t.mu.Unlock()
+	t.stop()
+	for _, r := range open {
+		r.do(plan.Action{Kind: plan.Cut})
+	}
+	t.done.Wait()
+}
+
+// Append writes the channels' figures to text, one a line, under a prefix and in the form of the other figures.
+func (t *Table) Append(text []byte, prefix string) []byte {
+	line := func(name string, value int64, kind byte) {
+		text = append(append(text, prefix...), name...)
+		text = strconv.AppendInt(append(text, ':'), value, 10)
+		text = append(text, '|', kind, '\n')
+	}
+	t.mu.Lock()
+	held := t.plan.Held()
+	toServers, toClients := t.counts.toServers.Load(), t.counts.toClients.Load()
+	for _, r := range t.relays {
+		toServers += r.ends[plan.Client].bytes.Load()
+		toClients += r.ends[plan.Server].bytes.Load()
+	}
+	open := len(t.relays)
+	t.mu.Unlock()
+	line("channels.open", int64(open), 'g')
+	for _, id := range slices.Sorted(maps.Keys(held)) {
+		line("channels.open."+id, int64(held[id]), 'g')
+	}
+	line("channels.opened", t.counts.opened.Load(), 'c')
+	line("channels.refused", t.counts.refused.Load(), 'c')
+	line("channels.moved", t.counts.moved.Load(), 'c')
+	line("channels.cut", t.counts.cut.Load(), 'c')
+	line("channels.broken", t.counts.broken.Load(), 'c')
+	line("channels.bytes_to_servers", toServers, 'c')
+	line("channels.bytes_to_clients", toClients, 'c')
+	return text
+}
--- /dev/null
+++ b/internal/channel/handshake/handshake.go
@@ -0,0 +1,190 @@
+// Package handshake checks both halves of a WebSocket handshake (RFC 6455, section 4) as an intermediary sees them. It
+// has no I/O and changes nothing: what was offered and chosen is the ends' own.
+package handshake
+
+import (
+	"crypto/sha1"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"brasswell/internal/channel/frame"
+)
+
+// Version is the only version of the protocol.
+const Version = "13"
+
+// The handshake's fields.
+const (
+	KeyField       = "Sec-Websocket-Key"
+	AcceptField    = "Sec-Websocket-Accept"
+	VersionField   = "Sec-Websocket-Version"
+	ProtocolField  = "Sec-Websocket-Protocol"
+	ExtensionField = "Sec-Websocket-Extensions"
+	// CheckField, set to "utf8" by either end, asks for text to be checked on its way.
+	CheckField = "X-Channel-Check"
+)
+
+// ErrVersion is that of a request for another version: its answer is 426 and names the one there is.
+var ErrVersion = errors.New(VersionField + ": only " + Version + " is spoken")
+
+// Wanted says whether a request asks for a channel, rightly or not.
+func Wanted(r *http.Request) bool {
+	return has(r.Header["Upgrade"], "websocket")
+}
+
+// has says whether one of the fields, which are lists of tokens, has one (RFC 9110, section 5.6.1).
+func has(fields []string, token string) bool {
+	return slices.ContainsFunc(tokens(fields), func(t string) bool { return strings.EqualFold(t, token) })
+}
+
+func tokens(fields []string) []string {
+	var all []string
+	for _, field := range fields {
+		for t := range strings.SplitSeq(field, ",") {
+			if t = strings.TrimSpace(t); t != "" {
+				all = append(all, t)
+			}
+		}
+	}
+	return all
+}
+
+// Offer is what a client asks for.
+type Offer struct {
+	key        string
+	protocols  []string
+	extensions []string // by name
+	UTF8       bool
+}
+
+// ReadOffer checks a request for a channel.
+func ReadOffer(r *http.Request) (*Offer, error) {
+	h := r.Header
+	switch {
+	case r.Method != http.MethodGet:
+		return nil, fmt.Errorf("%s: a channel begins with GET", r.Method)
+	case !r.ProtoAtLeast(1, 1):
+		return nil, errors.New("a channel needs HTTP/1.1")
+	case !has(h["Connection"], "upgrade"):
+		return nil, errors.New("Connection: lacks the option upgrade")
+	case len(tokens(h["Upgrade"])) != 1:
+		return nil, errors.New("Upgrade: names more than websocket")
+	case r.ContentLength != 0 || r.TransferEncoding != nil:
+		return nil, errors.New("a request for a channel has no body")
+	case len(h[VersionField]) != 1 || h.Get(VersionField) != Version:
+		return nil, ErrVersion
+	case len(h[KeyField]) != 1:
+		return nil, fmt.Errorf("%s: must be given once", KeyField)
+	}
+	o := &Offer{key: h.Get(KeyField), UTF8: h.Get(CheckField) == "utf8"}
+	if nonce, err := base64.StdEncoding.Strict().DecodeString(o.key); err != nil || len(nonce) != 16 {
+		return nil, fmt.Errorf("%s: not 16 bytes in base64", KeyField)
+	}
+	o.protocols = tokens(h[ProtocolField])
+	for i, p := range o.protocols {
+		if !isToken(p) {
+			return nil, fmt.Errorf("%s: %q is no token", ProtocolField, p)
+		}
+		if slices.Contains(o.protocols[:i], p) {
+			return nil, fmt.Errorf("%s: %q is offered twice", ProtocolField, p)
+		}
+	}
+	var err error
+	if o.extensions, err = extensions(h[ExtensionField]); err != nil {
+		return nil, err
+	}
+	return o, nil
+}
+
+// Accept is the answer to a key.
+func Accept(key string) string {
+	const magic = "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"
+	sum := sha1.Sum([]byte(key + magic))
+	return base64.StdEncoding.EncodeToString(sum[:])
+}
+
+// Agreement is what both ends keep to.
+type Agreement struct {
+	Reserved byte // the reserved bits that may be set
+	UTF8     bool
+}
+
+// Check checks a server's answer of 101 against what the client offered.
+func (o *Offer) Check(h http.Header) (Agreement, error) {
+	a := Agreement{UTF8: o.UTF8 || h.Get(CheckField) == "utf8"}
+	switch {
+	case len(tokens(h["Upgrade"])) != 1 || !has(h["Upgrade"], "websocket"):
+		return a, errors.New("Upgrade: the server changed to something else than websocket")
+	case !has(h["Connection"], "upgrade"):
+		return a, errors.New("Connection: the server's answer lacks the option upgrade")
+	case len(h[AcceptField]) != 1 || h.Get(AcceptField) != Accept(o.key):
+		return a, fmt.Errorf("%s: does not answer the client's key", AcceptField)
+	case len(h[ProtocolField]) > 1:
+		return a, fmt.Errorf("%s: given more than once", ProtocolField)
+	case h["Content-Length"] != nil || h["Transfer-Encoding"] != nil:
+		return a, errors.New("an answer of 101 with a body's length")
+	}
+	if chosen := h.Get(ProtocolField); len(h[ProtocolField]) == 1 && !slices.Contains(o.protocols, chosen) {
+		return a, fmt.Errorf("%s: the server chose %q, which was not offered", ProtocolField, chosen)
+	}
+	agreed, err := extensions(h[ExtensionField])
+	if err != nil {
+		return a, err
+	}
+	for _, e := range agreed {
+		if !slices.Contains(o.extensions, e) {
+			return a, fmt.Errorf("%s: the server chose %q, which was not offered", ExtensionField, e)
+		}
+		if e == "permessage-deflate" {
+			a.Reserved |= frame.Compressed
+		} else {
+			a.Reserved = 0x70 // what its bits mean is the ends' own business
+		}
+	}
+	return a, nil
+}
+
+// extensions are the names in a list of extensions with parameters, whose values may be quoted (section 9.1).
+func extensions(fields []string) ([]string, error) {
+	var names []string
+	for _, field := range fields {
+		for item, rest := "", field; rest != ""; {
+			item, rest = cutList(rest)
+			if item = strings.TrimSpace(item); item == "" {
+				continue
+			}
+			name, _, _ := strings.Cut(item, ";")
+			if name = strings.TrimSpace(name); !isToken(name) {
+				return nil, fmt.Errorf("%s: %q is no extension", ExtensionField, item)
+			}
+			names = append(names, strings.ToLower(name))
+		}
+	}
+	return names, nil
+}
+
+// cutList cuts a list at its first comma that is not quoted.
+func cutList(s string) (item, rest string) {
+	quoted := false
+	for i := 0; i < len(s); i++ {
+		switch {
+		case s[i] == '"':
+			quoted = !quoted
+		case s[i] == '\\' && quoted:
+			i++
+		case s[i] == ',' && !quoted:
+			return s[:i], s[i+1:]
+		}
+	}
+	return s, ""
+}
+
+func isToken(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return r <= ' ' || r >= 0x7f || strings.ContainsRune(`()<>@,;:\"/[]?={}`, r)
+	})
+}
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -88,6 +88,7 @@
 		t.Fatal(err)
 	}
 	want := DefaultOperator()
+	want.Proxy.Channels.On = true // the section itself turns them on
 	if !reflect.DeepEqual(o.Proxy, want.Proxy) || !reflect.DeepEqual(o.Log, want.Log) {
 		t.Errorf("the file that states the defaults sets %+v %+v", o.Proxy, o.Log)
 	}
@@ -162,7 +163,7 @@
 	onlyChecker := map[string]string{
 		"range": "duration-overflow duration-too-long duration-too-short size-overflow size-too-large size-too-small address-port-too-large",
 		"together": "burst-under-rate idle-under-default-once-idle listener-address-taken listener-name-taken listener-shares " +
-			"once-idle-over-idle slack-too-long",
+			"once-idle-over-idle slack-too-long channels-tenant-over-most channels-pong-under-write",
 		"the same value in another form": "section-dotted section-inline",
 	}
 	var allowed []string
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -69,8 +69,8 @@
 	Ejected int // of these, the ones that are avoided now, by hand or by choice
 }
 
-// prefix begins every figure's name.
-const prefix = "edge_relay."
+// Prefix begins every figure's name.
+const Prefix = "edge_relay."
 
 // separators have a meaning in the form that the figures are written in.
 var separators = strings.NewReplacer(":", "_", "|", "_", "\n", "_", "\r", "_")
@@ -79,7 +79,7 @@
 // has it. Classes are in it from the start.
 func (b *Book) Append(text []byte, p Pool) []byte {
 	line := func(name string, value int64, kind byte) {
-		text = append(append(text, prefix...), name...)
+		text = append(append(text, Prefix...), name...)
 		text = strconv.AppendInt(append(text, ':'), value, 10)
 		text = append(text, '|', kind, '\n')
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,8 @@
 	"brasswell/internal/backends"
 	"brasswell/internal/body"
 	"brasswell/internal/callers"
+	"brasswell/internal/channel"
+	"brasswell/internal/channel/handshake"
 	"brasswell/internal/figures"
 	"brasswell/internal/host"
 	"brasswell/internal/restart"
@@ -46,6 +48,7 @@
 	restart  *restart.Restart
 	options  atomic.Pointer[Options]
 	figures  *figures.Book
+	channels *channel.Table // nil where there are none
 
 	mu   sync.Mutex
 	open map[string]struct{} // the ids of the requests that are not answered yet
@@ -93,6 +96,10 @@
 		s.turnAway(w, ask, http.StatusServiceUnavailable, errors.New("too many connections"))
 		return
 	}
+	if s.channels != nil && handshake.Wanted(r) {
+		s.upgrade(w, r, ask)
+		return
+	}
 	kept, rest, err := s.readBody(w, r)
 	switch {
 	case err != nil:
@@ -141,23 +148,25 @@
 	taken := time.Now()
 	s.figures.Taken()
 	defer s.figures.Ended()
-	q := s.submit(r, ask, kept)
-	var f host.Final
-	select {
-	case f = <-q.Final():
-	case <-r.Context().Done():
-		s.instance.Drop(q)
-		f = <-q.Final()
-	case <-s.restart.Over():
-		s.instance.Drop(q)
-		f = <-q.Final()
-	}
+	f := s.await(r, s.submit(r, ask, kept))
 	if f.Verdict == host.Served {
 		s.restart.Answered(time.Since(taken))
 	}
 	s.answer(w, ask, f)
 }
 
+// await returns the request's final answer, which comes at once if its caller leaves or the proxy ends.
+func (s *Front) await(r *http.Request, q *host.Request) host.Final {
+	select {
+	case f := <-q.Final():
+		return f
+	case <-r.Context().Done():
+	case <-s.restart.Over():
+	}
+	s.instance.Drop(q)
+	return <-q.Final()
+}
+
 func (s *Front) submit(r *http.Request, a ask, kept *body.Body) *host.Request {
 	return s.instance.Submit(newMessage(r, a.class, kept), a.class, a.tenant, a.left, s.restart.Cap(a.left))
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -11,6 +11,7 @@
 
 	"brasswell/balance"
 	"brasswell/internal/backends"
+	"brasswell/internal/channel/plan"
 )
 
 // Verdict is how a request is answered.
@@ -64,7 +65,8 @@
 	started  time.Time
 	unix     time.Duration // Unix time at started
 	backends *backends.Pool
-	watch    func() // starts a watch on the server list
+	watch    func()   // starts a watch on the server list
+	channels Channels // nil where there are none
 	log      *slog.Logger
 
 	mu       sync.Mutex
@@ -82,6 +84,35 @@
 	running sync.WaitGroup // workers
 }
 
+// Channels is what an instance tells of its servers, and asks before a request for a channel goes to one. The calls come
+// while the instance is locked, so none of them may block or call back.
+type Channels interface {
+	// Nodes names the servers that may be used now; others are to be left.
+	Nodes([]plan.Node)
+	// MayOpen says whether a request for a channel may go to a server now, and counts it.
+	MayOpen(server string) bool
+}
+
+// SetChannels is for an instance that has taken nothing on yet.
+func (i *Instance) SetChannels(c Channels) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.channels = c
+	i.tellChannels()
+}
+
+// tellChannels is called with mu held whenever what may be used has changed.
+func (i *Instance) tellChannels() {
+	if i.channels == nil {
+		return
+	}
+	nodes := make([]plan.Node, 0, len(i.address))
+	for id, to := range i.address {
+		nodes = append(nodes, plan.Node{ID: id, Boot: to.Boot, Usable: i.balancer.MaySend(id), InTurns: i.balancer.InTurns(id)})
+	}
+	i.channels.Nodes(nodes)
+}
+
 // mostIdle workers are kept waiting for an attempt.
 const mostIdle = 64
 
@@ -181,7 +212,11 @@
 		i.end(a, balance.Ignored, nil) // its time has expired: never sent
 		return
 	}
-	outcome, r := i.backends.Exchange(a.ctx, a.to, a.request.message, a)
+	exchange := i.backends.Exchange
+	if a.request.message.Offer != nil {
+		exchange = i.backends.Upgrade
+	}
+	outcome, r := exchange(a.ctx, a.to, a.request.message, a)
 	i.end(a, outcome, r)
 }
 
@@ -196,7 +231,11 @@
 	}
 	// While the connection came up, the list or a hand may have taken the server out.
 	usable := i.address[a.to.Server] == a.to && i.balancer.MaySend(a.to.Server)
-	return left, usable && left > 0 && !a.request.answered && a.ctx.Err() == nil
+	wanted := usable && left > 0 && !a.request.answered && a.ctx.Err() == nil
+	if wanted && a.request.message.Offer != nil {
+		wanted = i.channels.MayOpen(a.to.Server)
+	}
+	return left, wanted
 }
 
 // Started passes on an answer that streams, and says whether somebody takes it. From here on no time ends the attempt.
@@ -222,8 +261,8 @@
 	a.over = true
 	q := a.request
 	q.out--
-	if outcome == balance.OK && r != nil {
-		q.answer(Final{Verdict: Served, Reply: r})
+	if outcome == balance.OK && r != nil && !q.answer(Final{Verdict: Served, Reply: r}) && r.Channel != nil {
+		r.Channel.Conn.Close() // nobody takes it any more
 	}
 	now := i.now()
 	latency := now - a.from
@@ -274,6 +313,7 @@
 		}
 	}
 	i.backends.Keep(wanted)
+	i.tellChannels()
 }
 
 // ByHand takes a server out or puts it back, and reports whether a list has ever named it. Once it has returned from
--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -18,7 +18,11 @@
 
 func (d desk) Figures(text []byte) []byte {
 	listed, avoided := d.host.Pool()
-	return d.figures.Append(text, figures.Pool{Size: listed, Ejected: avoided})
+	text = d.figures.Append(text, figures.Pool{Size: listed, Ejected: avoided})
+	if d.channels != nil {
+		text = d.channels.Append(text, figures.Prefix)
+	}
+	return text
 }
 
 func (d desk) Suspend(ctx context.Context, id string) error { return d.byHand(ctx, id, true) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"brasswell/internal/backends"
 	"brasswell/internal/body"
 	"brasswell/internal/callers"
+	"brasswell/internal/channel"
 	"brasswell/internal/console"
 	"brasswell/internal/discovery"
 	"brasswell/internal/figures"
@@ -99,6 +100,7 @@
 	http      *http.Server
 	figures   *figures.Book
 	console   *console.Server // nil where operators have no address
+	channels  *channel.Table  // nil where there are none
 	accepting atomic.Bool     // callers' connections are taken
 	bodies    *body.Budget
 	limits    limits
@@ -126,6 +128,13 @@
 		consoleConns = min(max(c.Sockets/consoleShare, leastConsole), mostConsole)
 		sockets -= float64(consoleConns)
 	}
+	if c.Options.Channels.On {
+		if err := roomForChannels(&c, sockets); err != nil {
+			return nil, err
+		}
+		sockets -= socketsOfChannel * float64(c.Options.Channels.Most)
+		c.Memory -= memoryOfChannels(&c.Options.Channels)
+	}
 	book := figures.NewBook(s.Classes)
 	buffers := socketBuffers(c.Memory, c.Sockets)
 	most := limits{
@@ -154,7 +163,17 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	p.listener = p.callers.Listen(l)
+	if c.Options.Channels.On {
+		cold := channel.Cold{From: s.Balancer.ColdFrom, WarmUp: s.Balancer.WarmUp}
+		if p.channels, err = channel.New(c.Options.Channels, cold, c.Seed, c.Log); err != nil {
+			p.stop()
+			l.Close()
+			return nil, err
+		}
+		p.host.SetChannels(p.channels)
+	}
 	p.front = front.New(s, p.host, p.bodies, p.callers, p.restart, p.figures, c.Options.Callers)
+	p.front.SetChannels(p.channels)
 	p.http = &http.Server{
 		Handler:           p.front,
 		ReadHeaderTimeout: c.Options.Callers.HeadTimeout,
@@ -250,6 +269,10 @@
 		return err
 	case <-ctx.Done():
 	}
+	begun := time.Now()
+	if p.channels != nil {
+		p.channels.Leave()
+	}
 	if p.upgrade != nil && p.upgrade.leave() {
 		p.listener.Stop()
 		p.restart.HandOver()
@@ -257,6 +280,9 @@
 	if !p.restart.Run(p.left) {
 		p.log.Warn("leaving with callers' connections still open")
 	}
+	for p.channels != nil && p.channels.Len() > 0 && time.Since(begun) < p.channels.LeaveWithin() {
+		time.Sleep(acceptQuiet)
+	}
 	if err := p.http.Close(); err != nil {
 		return err
 	}
@@ -275,6 +301,9 @@
 		p.console.Close()
 	}
 	p.host.Close()
+	if p.channels != nil {
+		p.channels.Close()
+	}
 	p.backends.Close()
 	p.watches.Wait()
 	p.discovery.CloseIdle()
