--- a/internal/channel/plan/line.go
+++ b/internal/channel/plan/line.go
@@ -25,6 +25,7 @@
 	from   int64         // the bin up to which places are due
 	due    int           // places whose time has come within the last binGrace, not claimed yet
 	tokens bucket        // of what is let in
+	idle   bool          // tokens are lost: nobody with a place wants them
 	claims float64       // the share of places that is claimed
 }
 
@@ -116,7 +117,7 @@
 // ticket that the client shows; nil for none, or none of ours.
 //
 // Whose place has come goes first. A client that was turned away twice or more goes ahead of its place where a token is
-// left that no place needs; a new one only if nobody waits.
+// left that no place needs; a new one only if nobody waits, or tokens would be lost since nobody with a place comes.
 //
 // It guards against storms of clients that all come back at once, and should hold against those that do so without end:
 // they are answered at once and wait behind the others. It would harm clients that come in bursts as a rule.
@@ -128,7 +129,9 @@
 	p.line.advance(now)
 	l := &p.line
 	// What is due may come up to binGrace late: its tokens are kept for it.
-	l.tokens.fill(now, rate, max(burst*rate, 1)+float64(l.due))
+	most := max(burst*rate, 1) + float64(l.due)
+	l.tokens.fill(now, rate, most)
+	l.idle = l.tokens.tokens >= most
 	if p.leaving || len(p.channels)+p.opening >= p.set.Channels ||
 		p.set.TenantChannels > 0 && p.tenants[tenant] >= p.set.TenantChannels {
 		a := p.refuse(now, t, 0)
@@ -159,7 +162,7 @@
 	case t != nil && t.Turned >= 2:
 		return spare >= 1
 	}
-	return spare >= 1 && l.tail <= now
+	return spare >= 1 && (l.tail <= now || l.idle)
 }
 
 // Refused says when a client may come again that was let in and then refused by the balancer.
--- a/internal/channel/plan/plan_test.go
+++ b/internal/channel/plan/plan_test.go
@@ -344,12 +344,10 @@
 		fresh = append(fresh, c)
 	}
 	storm(t, p, append(slices.Clone(old), fresh...), 5*time.Minute, nil)
-	at := func(c *client) time.Duration { return c.in }
 	lastOld, firstFresh := slices.MaxFunc(old, byIn).in, slices.MinFunc(fresh, byIn).in
 	if lastOld > firstFresh+2*time.Second {
 		t.Errorf("a new one is in %v before the last of those who wait", lastOld-firstFresh)
 	}
-	_ = at
 }
 
 func byIn(a, b *client) int { return cmp.Compare(a.in, b.in) }
--- a/internal/standin/audit/audit.go
+++ b/internal/standin/audit/audit.go
@@ -104,9 +104,10 @@
 	Arrivals, Ran, Repeats         int            // at servers; Repeats were dropped by their key
 	Checks                         [ruleCount]int // how often each rule was put to the test
 	Broken                         [ruleCount]int
-	Scripted                       int // what would have been broken rules but for a script that asked for it
-	Foreign                        int // arrivals of visitors' requests, which keep no books
-	Unwatched                      int // requests beyond MostOpen, of which nothing is said
+	Latest                         time.Duration // after notice, of all that came to a server within its grace or later
+	Scripted                       int           // what would have been broken rules but for a script that asked for it
+	Foreign                        int           // arrivals of visitors' requests, which keep no books
+	Unwatched                      int           // requests beyond MostOpen, of which nothing is said
 	Cases                          []Broken
 }
 
@@ -386,6 +387,7 @@
 	if !s.toldOff {
 		return
 	}
+	a.report.Latest = max(a.report.Latest, now-s.toldAt)
 	if after := now - s.toldAt; after > a.rules.DrainGrace+a.rules.Slack {
 		a.broke(now, Drains, r.Scripted, "%s: sent to %s %v after notice", r.ID, r.Server, after)
 	}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -63,7 +63,9 @@
 	working  int
 	waiting  int
 	arrived  int64
-	freed    chan struct{} // closed and made anew when a slot comes free
+	channels int             // open
+	opened   []time.Duration // when channels began
+	freed    chan struct{}   // closed and made anew when a slot comes free
 	alive    context.Context
 	die      context.CancelCauseFunc
 	running  sync.WaitGroup
@@ -185,7 +187,7 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return // its last byte never came, so it has not arrived
 		}
-		if !b.answer(alive, c, req) {
+		if !b.answer(alive, c, r, req) {
 			return
 		}
 	}
@@ -210,7 +212,7 @@
 }
 
 // answer works one request off and says whether the connection can carry another.
-func (b *Backend) answer(alive context.Context, c net.Conn, req *http.Request) bool {
+func (b *Backend) answer(alive context.Context, c net.Conn, r *bufio.Reader, req *http.Request) bool {
 	id, class := req.Header.Get("X-Txn"), b.classes[req.Header.Get("X-Lane")]
 	key := req.Header.Get("Idempotency-Key")
 	dice := chance(b.config.Seed, b.config.ID, id)
@@ -254,7 +256,7 @@
 	}
 	text := fmt.Sprintf("%s ran at %s", id, b.config.ID)
 	dropped := key != "" && b.keys.seen(key, class.Window)
-	for range 1 + count(f.RunsTwice) {
+	for range 1 + times(f.RunsTwice) {
 		b.books.note(func(a *audit.Auditor, now time.Duration) { a.Ran(now, id, number, dropped, f.RunsTwice, text) })
 	}
 	switch {
@@ -270,6 +272,9 @@
 		return write(c, spoilt(dice.IntN)) // the connection stays open, of no further use
 	case happens(f.Extra):
 		return write(c, whole(text)+whole(text))
+	case req.Header.Get("Upgrade") != "":
+		b.channel(alive, c, r, req, text)
+		return false
 	}
 	return write(c, whole(text))
 }
@@ -303,7 +308,7 @@
 	return err == nil
 }
 
-func count(b bool) int {
+func times(b bool) int {
 	if b {
 		return 1
 	}
@@ -398,6 +403,7 @@
 	Arrived  int64 // requests so far
 	Working  int
 	Waiting  int
+	Channels int
 	Share    float64 // of its capacity, while cold
 	Slow     float64 // how many times as long work takes; 0 or 1 for as usual
 	Dead     bool
@@ -409,7 +415,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return BackendState{
-		ID: b.config.ID, Zone: zones[b.config.Zone], Arrived: b.arrived, Working: b.working, Waiting: b.waiting,
+		ID: b.config.ID, Zone: zones[b.config.Zone], Arrived: b.arrived, Working: b.working, Waiting: b.waiting, Channels: b.channels,
 		Share: b.share(), Slow: b.faults.Slow, Dead: b.alive.Err() != nil, Draining: b.draining,
 	}
 }
