Measure channels beside TCP relays, at rest and in a storm of 10,000, and size their buffers

Checked: the profile is syscalls only, and the same with reads of 8 to 64 KiB. To blame are the sockets' buffers, 8 KiB by socketBuffers where a proxy has 20,000 sockets, less than a segment.

--- a/bench/child_test.go
+++ b/bench/child_test.go
@@ -38,6 +38,16 @@
 		err = runBackends()
 	case "brasswell":
 		err = runBrasswell()
+	case "channels":
+		err = runChannels()
+	case "tcp-relay":
+		err = runTCPRelay(false)
+	case "copying-relay":
+		err = runTCPRelay(true)
+	case "channel-storm":
+		err = runChannelStorm()
+	case "channel-clients":
+		err = runChannelClients()
 	case "reverseproxy":
 		err = runReverseProxy(nil)
 	case "reverseproxy-pooled":
--- a/bench/start_test.go
+++ b/bench/start_test.go
@@ -84,8 +84,8 @@
 	b.ReportMetric(memory/float64(b.N), "rest-MB")
 }
 
-// resident is a process's resident memory in MB.
-func resident(b *testing.B, pid int) float64 {
+// resident is a process's resident memory in MiB.
+func resident(b testing.TB, pid int) float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		b.Fatal(err)
--- a/internal/channel/options.go
+++ b/internal/channel/options.go
@@ -10,13 +10,16 @@
 type Options struct {
 	On bool // the file has the section
 
-	Most     int // channels open at one time
-	Tenant   int // of one tenant; 0 for no bound
-	Memory   int64
-	Rate     float64 // upgrades let in a second
-	NodeRate float64 // upgrades a second to one warm server
-	MostWait time.Duration
-	Key      string // a file with the key that seals tickets; "" for one drawn at the start
+	Most   int // channels open at one time
+	Tenant int // of one tenant; 0 for no bound
+	Memory int64
+	// SocketBuffer is the size of the kernel's buffers for each socket and direction. A slow reader's messages
+	// stand there.
+	SocketBuffer int64
+	Rate         float64 // upgrades let in a second
+	NodeRate     float64 // upgrades a second to one warm server
+	MostWait     time.Duration
+	Key          string // a file with the key that seals tickets; "" for one drawn at the start
 
 	MoveWindow    time.Duration
 	RestartWindow time.Duration
@@ -34,7 +37,7 @@
 // DefaultOptions hold where the file has the section and leaves a key out.
 func DefaultOptions() Options {
 	return Options{
-		Most: 1000, Memory: 16 << 20, Rate: 200, NodeRate: 50, MostWait: time.Minute,
+		Most: 1000, Memory: 16 << 20, SocketBuffer: 64 << 10, Rate: 200, NodeRate: 50, MostWait: time.Minute,
 		MoveWindow: 20 * time.Second, RestartWindow: 2 * time.Second, CloseTimeout: 2 * time.Second,
 		WriteTimeout: 10 * time.Second, PingEvery: 30 * time.Second, PongTimeout: 10 * time.Second,
 		FrameGrace: 10 * time.Second, FrameRate: 4 << 10, MaxMessage: 1 << 20,
@@ -52,6 +55,7 @@
 			operator.Int("most", &o.Most, 1, 1<<20, "How many channels may be open at one time. Each takes two sockets, which the limit must leave to requests."),
 			operator.Int("tenant", &o.Tenant, 0, 1<<20, "How many of them one tenant may have, and all callers of no known tenant together. 0 sets no bound."),
 			operator.Size("memory", &o.Memory, 64<<10, 1<<40, "What all channels together may hold of messages on their way. Senders wait where it is used up."),
+			operator.Size("socket_buffer", &o.SocketBuffer, 4<<10, 16<<20, "What the kernel may hold for each socket and direction of a channel. A quiet channel takes none of it."),
 			operator.Float("rate", &o.Rate, 0.1, 1e6, "How many channels may be opened in a second, over all servers. Others are told when to come again."),
 			operator.Float("node_rate", &o.NodeRate, 0.1, 1e6, "How many a second may go to one warm server; a cold one takes its share of that."),
 			operator.Duration("most_wait", &o.MostWait, time.Second, 10*time.Minute, "The longest that a caller is sent away for with a place in the line."),
--- a/internal/channel/relay.go
+++ b/internal/channel/relay.go
@@ -96,6 +96,12 @@
 	if err != nil {
 		return nil, err
 	}
+	// The proxy's sockets have buffers for requests. They are small where there are many sockets, and smaller than a
+	// segment on loopback: the kernel then waits on its own timers within each long message.
+	size := int(t.options.SocketBuffer)
+	if err := errors.Join(conn.SetReadBuffer(size), conn.SetWriteBuffer(size)); err != nil {
+		return nil, err
+	}
 	e := &end{
 		side: side, now: t.now, conn: conn, raw: raw, mask: side == plan.Server, get: t.gate, held: held,
 		patience: t.options.WriteTimeout, closeWithin: t.options.CloseTimeout,
--- a/internal/standin/channel.go
+++ b/internal/standin/channel.go
@@ -77,6 +77,7 @@
 // ChannelLoad is clients that each want one channel at a time, and want another when theirs ends.
 type ChannelLoad struct {
 	Clients   int
+	First     int // the first client's number: those of one fleet have numbers of their own
 	Impatient int // of them, those that come again at once without a ticket
 	Within    time.Duration
 	Path      string
@@ -89,7 +90,7 @@
 	Asked, Opened, Refused, Failed int
 	Open                           int
 	MostTurned                     int         // refusals in a row of one patient client
-	Closed                         map[int]int // channels that ended, by the code that the client read; -1 for none
+	Closed                         map[int]int `json:",omitempty"` // channels that ended, by the code that the client read; -1 for none
 }
 
 // ChannelClients keep channels open through one proxy, and the books of the upgrades.
@@ -139,7 +140,7 @@
 		first := time.Duration(dice.Float64() * float64(load.Within))
 		running.Go(func() {
 			if pause(ctx, first) || load.Within == 0 {
-				c.client(ctx, n, load)
+				c.client(ctx, load.First+n, load)
 			}
 		})
 	}
@@ -148,7 +149,7 @@
 
 func (c *ChannelClients) client(ctx context.Context, n int, load ChannelLoad) {
 	dice := rand.New(rand.NewPCG(c.seed, uint64(n)+100))
-	impatient := n < load.Impatient
+	impatient := n-load.First < load.Impatient
 	ticket, turned := "", 0
 	for try := 0; ctx.Err() == nil; try++ {
 		ws, resp, wait := c.dial(ctx, fmt.Sprintf("channel-%d-%d", n, try), ticket, load.Path)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -109,6 +109,11 @@
 
 // Config is the platform's file for the only proxy before this fleet, listening on a free port.
 func (f *Fleet) Config(memoryMB float64, sockets int) ([]byte, error) {
+	return f.ConfigOf(0, 1, memoryMB, sockets)
+}
+
+// ConfigOf is the platform's file for one of several proxies before this fleet.
+func (f *Fleet) ConfigOf(me, instances int, memoryMB float64, sockets int) ([]byte, error) {
 	effects := map[audit.Effect]string{audit.Safe: "free", audit.Keyed: "guarded", audit.Unsafe: "single_shot"}
 	var classes []map[string]any
 	for _, c := range f.config.Classes {
@@ -119,12 +124,12 @@
 		})
 	}
 	return json.Marshal(map[string]any{
-		"name": "n1", "listen": f.config.Listen, "discovery": f.Discovery.Address(),
-		"seed":   fmt.Sprintf("%x", f.config.Seed),
+		"name": fmt.Sprintf("n%d", me+1), "listen": f.config.Listen, "discovery": f.Discovery.Address(),
+		"seed":   fmt.Sprintf("%x", f.config.Seed+uint64(me)),
 		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
 		"known":  f.Discovery.Whole(),
 		"settings": map[string]any{
-			"instances": 1, "me": 0, "layer": 0, "discovery": "push", "zones": zones, "over_share_worth": 0.05,
+			"instances": instances, "me": me, "layer": 0, "discovery": "push", "zones": zones, "over_share_worth": 0.05,
 			"request_classes": classes,
 			"limits": map[string]any{
 				"cancel": true, "max_attempts": 5, "conn_idle_ms": 5000, "connect_timeout_ms": 150,
