--- a/bench/channel_test.go
+++ b/bench/channel_test.go
@@ -22,6 +22,8 @@
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
+
 	"brasswell/internal/channel/handshake"
 	"brasswell/internal/config"
 	"brasswell/internal/proxy"
@@ -32,6 +34,7 @@
 	channelRounds  = flag.Int("channel-rounds", 1, "how often TestChannelsBesideATCPRelay measures each relay")
 	channelSeconds = flag.Float64("channel-seconds", 0.2, "how long each of its measurements takes")
 	idleChannels   = flag.Int("idle-channels", 200, "how many quiet channels TestMemoryOfIdleChannels opens")
+	idleWait       = flag.Duration("idle-wait", time.Second, "how long they are left alone; over 2 minutes, the collector has run")
 	stormRate      = flag.Float64("storm-rate", 250, "how many of them each of its proxies lets in a second")
 	stormClients   = flag.Int("storm-clients", 300, "how many clients come at once in TestChannelStorm")
 )
@@ -75,6 +78,43 @@
 	return report()
 }
 
+// runLibraryRelay passes whole messages on through a library's connections, which unmask, buffer and mask them anew.
+func runLibraryRelay() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		client, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer client.CloseNow()
+		ctx := context.Background()
+		server, _, err := websocket.Dial(ctx, "ws://"+backendsGiven()[0], nil)
+		if err != nil {
+			return
+		}
+		defer server.CloseNow()
+		carry := func(to, from *websocket.Conn) {
+			from.SetReadLimit(1 << 20)
+			for {
+				kind, text, err := from.Read(ctx)
+				if err != nil || to.Write(ctx, kind, text) != nil {
+					return
+				}
+			}
+		}
+		go func() {
+			carry(client, server)
+			client.CloseNow()
+		}()
+		carry(server, client)
+	}))
+	fmt.Println(l.Addr())
+	return report()
+}
+
 // channelProxy is a proxy with channels on; hosts is its server list.
 func channelProxy(text []byte, change func(*proxy.Options)) (*proxy.Proxy, error) {
 	platform, err := config.ParsePlatform(text)
@@ -332,7 +372,7 @@
 func TestChannelsBesideATCPRelay(t *testing.T) {
 	s := newSink(t)
 	relays := map[string]*child{}
-	names := []string{"channels", "tcp-relay", "copying-relay"}
+	names := []string{"channels", "tcp-relay", "copying-relay", "library-relay"}
 	for _, name := range names {
 		relays[name] = start(t, name, s.Addr().String())
 	}
@@ -340,7 +380,7 @@
 	for _, k := range []struct {
 		conns, size, window int
 	}{{64, 32, 64}, {64, 1024, 64}, {64, 16 << 10, 16}, {1, 32, 1}, {64, 32, 1}} {
-		got := map[string]*figures{"channels": {}, "tcp-relay": {}, "copying-relay": {}}
+		got := map[string]*figures{"channels": {}, "tcp-relay": {}, "copying-relay": {}, "library-relay": {}}
 		for range *channelRounds {
 			for _, name := range names {
 				rate, cpu, trips := flow(t, relays[name], s, k.conns, k.size, k.window)
@@ -376,7 +416,13 @@
 func TestMemoryOfIdleChannels(t *testing.T) {
 	s := newSink(t)
 	s.per.Store(int64(len(masked(32))))
-	relay := start(t, "channels", s.Addr().String())
+	for _, name := range []string{"channels", "library-relay"} {
+		t.Run(name, func(t *testing.T) { memoryOfIdle(t, s, name) })
+	}
+}
+
+func memoryOfIdle(t *testing.T, s *sink, name string) {
+	relay := start(t, name, s.Addr().String())
 	one := masked(32)
 	open := func(from, to int) {
 		for i := from; i < to; i++ {
@@ -391,10 +437,10 @@
 	open(0, *idleChannels/10) // the pools and stacks that the first ones bring
 	before := resident(t, relay.cmd.Process.Pid)
 	open(*idleChannels/10, *idleChannels)
-	time.Sleep(time.Second)
+	time.Sleep(*idleWait)
 	after := resident(t, relay.cmd.Process.Pid)
 	n := *idleChannels - *idleChannels/10
-	t.Logf("%d quiet channels: %.1f KiB each (%.1f to %.1f MiB)", n, (after-before)*1024/float64(n), before, after)
+	t.Logf("%s: %d quiet channels: %.1f KiB each (%.1f to %.1f MiB)", name, n, (after-before)*1024/float64(n), before, after)
 }
 
 // TestChannelStorm lets clients come all at once by two proxies to a fleet two of whose servers have just started cold,
--- a/bench/child_test.go
+++ b/bench/child_test.go
@@ -42,6 +42,8 @@
 		err = runChannels()
 	case "tcp-relay":
 		err = runTCPRelay(false)
+	case "library-relay":
+		err = runLibraryRelay()
 	case "copying-relay":
 		err = runTCPRelay(true)
 	case "channel-storm":
--- a/internal/channel/channel.go
+++ b/internal/channel/channel.go
@@ -121,7 +121,7 @@
 	for side, e := range t.relays[id].ends {
 		a[side] = plan.Activity{
 			Heard: time.Duration(e.heard.Load()), Spoke: time.Duration(e.spoke.Load()),
-			FrameSince: time.Duration(e.since.Load()), FrameBytes: e.moved.Load(), Held: e.blocked.Load(),
+			FrameSince: time.Duration(e.since.Load()), FrameBytes: e.moved.Load(), Held: e.blocked.Load(), Resting: e.resting.Load(),
 		}
 	}
 	return a
@@ -245,6 +245,20 @@
 	t.plan.Leave(t.now(), t.options.RestartWindow)
 }
 
+// Resting is how many ends are waited for at the least cost.
+func (t *Table) Resting() (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.relays {
+		for _, e := range r.ends {
+			if e.resting.Load() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Len is how many channels are open.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/internal/channel/plan/keep.go
+++ b/internal/channel/plan/keep.go
@@ -6,6 +6,9 @@
 	"brasswell/internal/channel/frame"
 )
 
+// restAfter is how long an end has been quiet for its wait to be made cheap, which costs more than one read does.
+const restAfter = 3 * time.Second
+
 // lookEvery is how long a channel is not looked at: a frame may begin right after a look.
 func (p *Plan) lookEvery() time.Duration { return min(p.set.PingEvery, p.set.FrameGrace) }
 
@@ -39,6 +42,9 @@
 			}
 			next = min(next, end)
 		}
+		if !at.Resting && now >= at.Heard+restAfter {
+			actions = append(actions, Action{ID: c.id, Kind: Rest, Side: side})
+		}
 		asked := c.pinged[side]
 		switch {
 		case asked > 0 && at.Heard >= asked:
--- a/internal/channel/plan/plan.go
+++ b/internal/channel/plan/plan.go
@@ -66,6 +66,7 @@
 	Spoke      time.Duration // when the last bytes of a message came
 	FrameSince time.Duration // since when a frame has been on its way from it, the other end's slowness aside; 0 for none
 	FrameBytes int64         // of that frame so far
+	Resting    bool          // it waits at the least cost
 	Held       bool          // its bytes wait for the other end, so that nothing it does could be heard
 }
 
@@ -73,7 +74,7 @@
 type Action struct {
 	ID   ID
 	Kind Kind
-	Side Side       // of Ping, Dead and Slow
+	Side Side       // of Ping, Rest, Dead and Slow
 	Code frame.Code // of Go
 	Text string     // the reason, for the ends and for people
 }
@@ -84,6 +85,7 @@
 // The kinds.
 const (
 	Ping Kind = iota // ask an end whether it lives
+	Rest             // an end is quiet: wait for it at the least cost
 	Go               // tell the client to go, after the message at hand
 	Now              // the same, within a message too
 	Cut              // close both connections at once
--- a/internal/channel/plan/plan_test.go
+++ b/internal/channel/plan/plan_test.go
@@ -449,6 +449,7 @@
 		pings, over := 0, time.Duration(0)
 		b.run(5*time.Minute, look, func(a Action) {
 			switch {
+			case a.Kind == Rest:
 			case over > 0:
 				t.Fatalf("%+v after the end", a)
 			case a.Kind == Ping && a.Side != dead:
@@ -472,16 +473,25 @@
 	b := newBed(settings(), up(0))
 	b.open("a", 1000)
 	heard := map[ID][Sides]time.Duration{}
+	type a2 struct {
+		ID
+		Side
+	}
+	rests := map[a2]bool{}
 	opened := b.now
 	look := func(id ID) [Sides]Activity {
 		h, ok := heard[id]
 		if !ok {
 			h = [Sides]time.Duration{opened, opened}
 		}
-		return [Sides]Activity{{Heard: h[0]}, {Heard: h[1]}}
+		return [Sides]Activity{{Heard: h[0], Resting: rests[a2{id, Client}]}, {Heard: h[1], Resting: rests[a2{id, Server}]}}
 	}
 	pings := 0
 	b.run(5*time.Minute, look, func(a Action) {
+		if a.Kind == Rest && !rests[a2{a.ID, a.Side}] {
+			rests[a2{a.ID, a.Side}] = true // for good, as the ends' pongs take no time here
+			return
+		}
 		if a.Kind != Ping {
 			t.Fatalf("%+v", a)
 		}
@@ -493,6 +503,9 @@
 		h[a.Side] = b.now
 		heard[a.ID] = h
 	})
+	if len(rests) != 2*1000 {
+		t.Errorf("%d ends rest", len(rests))
+	}
 	if want := 2 * 1000 * 10; pings < want*8/10 || pings > want {
 		t.Errorf("%d pings in 5 minutes, want about %d", pings, want)
 	}
@@ -712,3 +725,70 @@
 		p.Ask(now, 0, nil)
 	}
 }
+
+// timeHeap is the plain structure beside the wheel: one heap by time.
+type timeHeap []*heapEntry
+
+type heapEntry struct {
+	at    time.Duration
+	index int
+}
+
+func (h timeHeap) Len() int           { return len(h) }
+func (h timeHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *timeHeap) Push(x any) {
+	x.(*heapEntry).index = len(*h)
+	*h = append(*h, x.(*heapEntry))
+}
+func (h *timeHeap) Pop() any {
+	e := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return e
+}
+
+// BenchmarkTimers sets one of many times anew, on the wheel, on a heap and as runtime timers.
+func BenchmarkTimers(b *testing.B) {
+	for _, n := range []int{1000, 100_000} {
+		dice := rand.New(rand.NewPCG(1, 1))
+		ahead := func() time.Duration { return wheelStep + time.Duration(dice.Int64N(int64(40*time.Second))) }
+		b.Run(fmt.Sprint("wheel/", n), func(b *testing.B) {
+			var w wheel
+			entries := make([]entry, n)
+			for i := range entries {
+				w.put(&entries[i], start, start+ahead())
+			}
+			for i := 0; b.Loop(); i++ {
+				w.put(&entries[i%n], start, start+ahead())
+			}
+		})
+		b.Run(fmt.Sprint("heap/", n), func(b *testing.B) {
+			var h timeHeap
+			entries := make([]heapEntry, n)
+			for i := range entries {
+				entries[i].at = ahead()
+				heap.Push(&h, &entries[i])
+			}
+			for i := 0; b.Loop(); i++ {
+				e := &entries[i%n]
+				e.at = ahead()
+				heap.Fix(&h, e.index)
+			}
+		})
+		b.Run(fmt.Sprint("runtime/", n), func(b *testing.B) {
+			entries := make([]*time.Timer, n)
+			for i := range entries {
+				entries[i] = time.AfterFunc(time.Hour+ahead(), func() {})
+			}
+			for i := 0; b.Loop(); i++ {
+				entries[i%n].Reset(time.Hour + ahead())
+			}
+			for _, t := range entries {
+				t.Stop()
+			}
+		})
+	}
+}
--- a/internal/channel/relay.go
+++ b/internal/channel/relay.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"brasswell/internal/channel/frame"
 	"brasswell/internal/channel/handshake"
@@ -51,6 +52,7 @@
 	since   atomic.Int64 // since when a frame has been on its way; 0 for none
 	moved   atomic.Int64 // bytes of that frame
 	blocked atomic.Bool  // its bytes wait for the other end
+	resting atomic.Bool  // a goroutine that does nothing else waits for it
 	dropped int          // bytes that nobody takes any more
 	bytes   atomic.Int64 // that have gone on
 
@@ -64,9 +66,11 @@
 	closing bool      // a Close has been written to it or stands in pending, or it is gone: no data may follow
 	gone    bool      // its socket is closed
 	told    bool      // that Close was the proxy's own word to go
+	toRest  bool      // its read is broken off so that it can rest
 	wanted  *goodbye  // to be told once the message at hand is over
 
 	// What a read returns; kept here so that no read allocates.
+	peeked  byte
 	reading struct {
 		f    func(fd uintptr) bool
 		b    *buffer
@@ -88,6 +92,7 @@
 var (
 	errStalled = errors.New("the end takes nothing")
 	errTooMuch = errors.New("the end goes on after its Close")
+	errRest    = errors.New("the end is quiet")
 	errClosed  = errors.New("the end has sent its Close")
 )
 
@@ -161,8 +166,12 @@
 
 // pump carries what one end sends to the other until either is over.
 func (r *relay) pump(from, to *end) {
-	defer r.ended()
 	err := r.carry(from, to)
+	if err == errRest {
+		go r.rest(from, to)
+		return
+	}
+	defer r.ended()
 	var v *frame.Violation
 	switch {
 	case errors.Is(err, errClosed):
@@ -182,6 +191,21 @@
 	r.drain(from)
 }
 
+// rest waits for an end that is quiet. A goroutine that has carried bytes has a stack of 4 KiB for good; this one is new,
+// calls next to nothing, and keeps to the 2 KiB that it begins with.
+func (r *relay) rest(from, to *end) {
+	// What is wrong with the wait, a read will find too.
+	_ = from.raw.Read(from.peek)
+	from.resting.Store(false)
+	go r.pump(from, to)
+}
+
+// peek says whether a read would not wait. It must not use much of the stack.
+func (e *end) peek(fd uintptr) bool {
+	_, _, errno := syscall.Syscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&e.peeked)), 1, syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+	return errno != syscall.EAGAIN
+}
+
 // goneCode is what the other end is told of one that left without a Close. Clients are to come again.
 func goneCode(side plan.Side) frame.Code {
 	if side == plan.Client {
@@ -202,6 +226,12 @@
 	for {
 		b, n, err := from.read()
 		if err != nil {
+			switch rest, goOn := from.afterBreak(err); {
+			case rest:
+				return errRest
+			case goOn:
+				continue
+			}
 			return err
 		}
 		from.heard.Store(int64(r.table.now()))
@@ -467,6 +497,36 @@
 	}
 }
 
+// breakOff makes the read that waits for the end return, so that a cheaper wait takes its place.
+func (e *end) breakOff() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.closing && !e.toRest && !e.resting.Load() {
+		e.toRest = true
+		e.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// afterBreak takes in what a read returned with. It says whether the end may rest now, or else be read on: it was to
+// rest, and a Close has been sent to it meanwhile, whose answer has a time of its own.
+func (e *end) afterBreak(err error) (rest, goOn bool) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.toRest {
+		return false, false
+	}
+	e.toRest = false
+	if e.closing {
+		return false, true
+	}
+	e.conn.SetReadDeadline(time.Time{})
+	e.resting.Store(true)
+	return true, false
+}
+
 // stopAt is where a Close that waits could be put in.
 func (e *end) stopAt() frame.Until {
 	e.mu.Lock()
@@ -551,6 +611,8 @@
 	switch a.Kind {
 	case plan.Ping:
 		r.ends[a.Side].ask(r.ping[:])
+	case plan.Rest:
+		r.ends[a.Side].breakOff()
 	case plan.Go:
 		client.closeAfterMessage(goodbye{a.Code, a.Text})
 	case plan.Now:
--- a/internal/proxy/channel_test.go
+++ b/internal/proxy/channel_test.go
@@ -101,7 +101,9 @@
 	if strings.HasPrefix(text, "HTTP/1.1 101") {
 		c.SetDeadline(time.Now().Add(patient))
 		n.conns <- &wsConn{n.t, c, r, false}
+		return
 	}
+	c.Close()
 }
 
 // die ends the process: its connections are reset, and new ones refused.
@@ -868,6 +870,167 @@
 	}
 }
 
+// TestQuietChannelsNeitherShunNorLoad: a server that holds 300 quiet channels, three times what a balancer's requests may
+// hold of it, gets its turns of requests and of new channels.
+func TestQuietChannelsNeitherShunNorLoad(t *testing.T) {
+	serves := func(r *http.Request) string {
+		if r.Header.Get("Upgrade") == "" {
+			return whole(r.Header.Get("X-Txn"))
+		}
+		return accept(r)
+	}
+	a, b := newWSNode(t, serves), newWSNode(t, serves)
+	g := newRig(t, withChannels(nil), entry("a", a.address, "up"))
+	for i := range 300 {
+		g.pair(a, fmt.Sprint(i))
+	}
+	g.registry.lists <- list(2, false, entry("b", b.address, "up"))
+	await(t, "the watch that follows", g.registry.calls)
+	await(t, "the watch that follows", g.registry.calls)
+	for range 300 {
+		<-a.heads
+	}
+	time.Sleep(3 * time.Second) // the handshakes were work, which the balancer remembers for 0.7 s; the channels are none
+	for i := range 100 {
+		if status, _ := g.dial().send(head(fmt.Sprint("request", i))).answer(); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	if n := len(a.heads); n < 40 || n > 60 {
+		t.Errorf("%d of 100 requests went to the server with the channels", n)
+	}
+	before := len(a.heads)
+	for i := range 100 {
+		if _, resp := g.open(fmt.Sprint("channel", i)); resp.StatusCode != 101 {
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+	}
+	if n := len(a.heads) - before; n < 40 || n > 60 {
+		t.Errorf("%d of 100 channels went there", n)
+	}
+}
+
+// TestEndsThatRestAreHeard: quiet ends are waited for in another way, and all that may come next still does.
+func TestEndsThatRestAreHeard(t *testing.T) {
+	t.Parallel()
+	n := newWSNode(t, nil)
+	g := newRig(t, withChannels(func(c *Config) {
+		o := &c.Options.Channels
+		o.FrameGrace, o.MoveWindow = 100*time.Millisecond, 100*time.Millisecond
+	}), entry("a", n.address, "up"))
+	rest := func(ends int) {
+		t.Helper()
+		for end := time.Now().Add(patient); g.channels.Resting() != ends; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d ends rest, want %d", g.channels.Resting(), ends)
+			}
+		}
+	}
+	type pair struct{ client, server *wsConn }
+	var all []pair
+	for i := range 6 {
+		client, server := g.pair(n, fmt.Sprint(i))
+		all = append(all, pair{client, server})
+	}
+	rest(12)
+	for range 2 { // they carry again, and rest again
+		for _, p := range all {
+			p.client.send(0x81, strings.Repeat("x", 70_000))
+			p.server.wants(0x81, strings.Repeat("x", 70_000))
+			p.server.send(0x81, "hold ready")
+			p.client.wants(0x81, "hold ready")
+		}
+		rest(12)
+	}
+	// Each of the ways in which a channel ends.
+	all[0].client.send(0x88, closing(1000))
+	all[0].server.wants(0x88, closing(1000))
+	all[0].server.send(0x88, closing(1000))
+	all[0].client.wants(0x88, closing(1000))
+	all[1].server.Close()
+	if code := all[1].client.code(); code != frame.ServiceRestart {
+		t.Errorf("told %d", code)
+	}
+	all[2].client.Close()
+	if code := all[2].server.code(); code != frame.GoingAway {
+		t.Errorf("told %d", code)
+	}
+	all[3].client.raw("\xff\xff")
+	if code := all[3].client.code(); code != frame.ProtocolError {
+		t.Errorf("told %d", code)
+	}
+	g.host.ByHand("a", true)
+	for _, p := range all[4:] {
+		if code := p.client.code(); code != frame.ServiceRestart {
+			t.Errorf("told %d", code)
+		}
+	}
+	all[4].client.send(0x88, closing(1012)) // the other one never answers
+	if code := all[4].server.code(); code != frame.GoingAway {
+		t.Errorf("told %d", code)
+	}
+	all[5].client.ended()
+	g.drained()
+}
+
+func TestServerTakenOutByHandLosesItsChannels(t *testing.T) {
+	a, b := newWSNode(t, nil), newWSNode(t, nil)
+	g := newRig(t, withChannels(func(c *Config) { c.Options.Channels.MoveWindow = 200 * time.Millisecond }),
+		entry("a", a.address, "up"), entry("b", b.address, "up"))
+	var ends sync.WaitGroup
+	told := 0
+	var mu sync.Mutex
+	for i := range 20 {
+		client, _ := g.open(fmt.Sprint(i))
+		ends.Go(func() {
+			if _, code := client.takes(); code == frame.ServiceRestart {
+				mu.Lock()
+				told++
+				mu.Unlock()
+			}
+		})
+	}
+	on := len(a.conns)
+	if !g.host.ByHand("a", true) {
+		t.Fatal("not known")
+	}
+	g.holds(20 - on)
+	if _, resp := g.open("new"); resp.StatusCode != 101 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	if len(a.heads) != on {
+		t.Error("a channel was opened at a server that was taken out")
+	}
+	b.die()
+	ends.Wait()
+	if told != 20 {
+		t.Errorf("%d of 20 clients were told to come again", told)
+	}
+}
+
+func TestFiguresOfChannels(t *testing.T) {
+	n := newWSNode(t, nil)
+	g := newRig(t, withChannels(nil), entry("node-1", n.address, "up"))
+	client, server := g.pair(n, "1")
+	client.send(0x81, "hello")
+	server.wants(0x81, "hello")
+	server.send(0x81, "hold ready")
+	client.wants(0x81, "hold ready")
+	text := string(desk{g.Proxy}.Figures(nil))
+	for _, want := range []string{
+		"edge_relay.channels.open:1|g\n", "edge_relay.channels.open.node-1:1|g\n", "edge_relay.channels.opened:1|c\n",
+		"edge_relay.channels.refused:0|c\n", "edge_relay.channels.moved:0|c\n", "edge_relay.ok.search:1|c\n", "edge_relay.active:0|g\n",
+		"edge_relay.channels.bytes_to_servers:11|c\n", "edge_relay.channels.bytes_to_clients:12|c\n",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in\n%s", want, text)
+		}
+	}
+	if text := string(desk{newRig(t, nil).Proxy}.Figures(nil)); strings.Contains(text, "channels") {
+		t.Error("figures of channels where there are none")
+	}
+}
+
 func TestUpgradesAreOrdinaryRequestsWhereThereAreNoChannels(t *testing.T) {
 	b := newBackend(t, "127.0.0.1:0", whole)
 	g := newRig(t, nil, entry("a", b.address, "up"))
