--- a/internal/proxy/channel_story_test.go
+++ b/internal/proxy/channel_story_test.go
@@ -145,6 +145,7 @@
 }
 
 func TestRoomDrainsOneServerAfterAnother(t *testing.T) {
+	t.Parallel()
 	s := newChannelStory(t, standin.FleetConfig{Seed: 1, Backends: 6}, standin.ChannelLoad{Clients: 180, Path: "/events"}, nil)
 	s.open(180, 20*time.Second)
 	room := []int{0, 2, 4}
@@ -182,6 +183,7 @@
 }
 
 func TestServerDiesWithItsChannelsAndReturnsCold(t *testing.T) {
+	t.Parallel()
 	s := newChannelStory(t, standin.FleetConfig{Seed: 2, Backends: 2, Slots: 8, Queue: 200, WarmUp: 3 * time.Second},
 		standin.ChannelLoad{Clients: 1000, Within: 2 * time.Second, Path: "/events"},
 		func(o *channel.Options) { o.Most, o.NodeRate, o.Rate, o.MostWait = 2000, 300, 600, 10*time.Second })
@@ -204,6 +206,7 @@
 }
 
 func TestClientsThatReconnectAtOnceForEver(t *testing.T) {
+	t.Parallel()
 	s := newChannelStory(t, standin.FleetConfig{Seed: 3, Backends: 4}, standin.ChannelLoad{Clients: 60, Impatient: 10, Path: "/events"},
 		func(o *channel.Options) { o.Rate, o.Most = 20, 55 })
 	// Of ten impatient and fifty patient ones, 55 find room; the limit holds, and who is refused is answered.
--- a/internal/proxy/upgrade_test.go
+++ b/internal/proxy/upgrade_test.go
@@ -306,6 +306,7 @@
 	if status, _ := second.console("POST", "/v1/backends/nobody/suspend"); status != 404 {
 		t.Errorf("an id that was never listed: %d", status)
 	}
+	c.end() // while there is somebody to answer
 }
 
 // TestNewProcessThatDies has new processes come and go before and after their yes; the old one serves on alone.
