Add ctl status: who is avoided, why and since when, and what is open

On call one had the figures alone: how many are avoided, not who. /v1/status and `brasswell ctl status` tell servers that are out by hand, drain, fail or are cold, with times as far as they were seen, the limit, requests by class, connections by state, memory and descriptors. internal/status makes it of what an upgrade carries anyway, so the decision module is as it was.

--- a/bench/daily_test.go
+++ b/bench/daily_test.go
@@ -14,6 +14,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +25,7 @@
 	transfers = flag.Int("transfers", 4, "how many transfers of -megabytes each way TestTransfers does at one time")
 	megabytes = flag.Int("megabytes", 4, "the size of each transfer")
 	calls     = flag.Int("calls", 100, "how many calls TestConsoleUnderSaturation makes")
+	halfHeads = flag.Int("half-heads", 50, "how many heads that do not end TestMemoryOfHalfHeads holds")
 	halfCalls = flag.Int("half-calls", 100, "how many half calls stand meanwhile")
 )
 
@@ -220,3 +222,32 @@
 		t.Error(err)
 	}
 }
+
+// TestMemoryOfHalfHeads has callers write heads that stop short of the longest one, and counts what the process holds.
+func TestMemoryOfHalfHeads(t *testing.T) {
+	backends := start(t, "backends", "")
+	for _, size := range []int{100, 4 << 10, 15 << 10} {
+		p := start(t, "brasswell", backends.first) // memory that came free at one size would serve the next
+		var open []net.Conn
+		begin := func(n int) {
+			for range n {
+				c, err := net.Dial("tcp", p.first)
+				if err != nil {
+					t.Fatal(err)
+				}
+				open = append(open, c)
+				fmt.Fprintf(c, "GET /api HTTP/1.1\r\nX-Pad: %s", strings.Repeat("p", size))
+			}
+			time.Sleep(300 * time.Millisecond) // under the time that a head may take
+		}
+		begin(*halfHeads / 10)
+		before := resident(t, p.cmd.Process.Pid)
+		begin(*halfHeads)
+		after := resident(t, p.cmd.Process.Pid)
+		t.Logf("%d heads of %d bytes that do not end: %.1f KiB each (%.1f to %.1f MiB)", *halfHeads, size, (after-before)*1024/float64(*halfHeads), before, after)
+		for _, c := range open {
+			c.Close()
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -270,3 +270,16 @@
 	}
 	p.drop(idle)
 }
+
+// States counts the connections that are open or being opened, and those of them that idle.
+func (p *Pool) States() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := 0
+	for _, l := range p.idle {
+		for range l.All() {
+			idle++
+		}
+	}
+	return map[string]int{"idle": idle, "busy": p.open - idle}
+}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -322,3 +322,19 @@
 	defer c.mu.Unlock()
 	c.onceIdle = d
 }
+
+// States counts the connections by what is known of them.
+func (c *Set) States() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := map[string]int{"silent": 0, "once": 0, "idle": 0, "partial": 0, "busy": 0}
+	names := [kinds]string{silent: "silent", once: "once", idle: "idle", partial: "partial"}
+	for k := range c.open {
+		if k.kind == busy {
+			counts["busy"]++
+		} else {
+			counts[names[k.kind]]++
+		}
+	}
+	return counts
+}
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"brasswell/internal/status"
 )
 
 // ctlTime bounds a call to a console, which owes its answer within 1 s.
@@ -52,6 +54,8 @@
 	verb("ready", "Whether it takes clients", 0, http.MethodGet, func([]string) string { return "/v1/readyz" }, said)
 	verb("figures", "The figures: requests by outcome and class, what is open, what is avoided", 0, http.MethodGet,
 		func([]string) string { return "/v1/metrics" }, readFigures)
+	verb("status", "How it stands: who is avoided, why and since when, the limit, what is open", 0, http.MethodGet,
+		func([]string) string { return "/v1/status" }, func(text string) any { return json.RawMessage(text) })
 	verb("suspend ID", "Take a backend out: nothing new goes there until it is put back", 1, http.MethodPost, backend("suspend"), said)
 	verb("resume ID", "Put a backend back; it is eased in like one that has just started", 1, http.MethodPost, backend("resume"), said)
 	return c
@@ -87,6 +91,13 @@
 	if e.format == "json" {
 		return json.NewEncoder(e.out).Encode(show(string(text)))
 	}
+	if resp.Header.Get("Content-Type") == "application/json" {
+		s, err := status.Read(string(text))
+		if err != nil {
+			return fmt.Errorf("no sound answer from the console: %w", err)
+		}
+		text = []byte(s.Text())
+	}
 	fmt.Fprintln(e.out, strings.TrimSpace(string(text)))
 	return nil
 }
--- a/internal/cli/ctl_test.go
+++ b/internal/cli/ctl_test.go
@@ -20,6 +20,9 @@
 			io.WriteString(w, "ready\n")
 		case r.URL.Path == "/v1/metrics":
 			io.WriteString(w, "edge_relay.ok.search:812|c\nnonsense\nedge_relay.active:14|g\n")
+		case r.URL.Path == "/v1/status":
+			w.Header().Set("Content-Type", "application/json")
+			io.WriteString(w, `{"ready":true,"listed":2,"avoided":[{"id":"node-03","why":"by hand","for_s":90}]}`)
 		case strings.Contains(r.URL.Path, "node/03"):
 			io.WriteString(w, "done\n")
 		default:
@@ -43,6 +46,8 @@
 		{[]string{"ctl", "ready", "--console", at, "--format", "json"}, 0, `{"answer":"ready"}`, "", "GET /v1/readyz"},
 		{[]string{"ctl", "figures", "--console", at}, 0, "edge_relay.active:14|g", "", "GET /v1/metrics"},
 		{[]string{"ctl", "figures", "--console", at, "--format", "json"}, 0, `{"edge_relay.active":14,"edge_relay.ok.search":812}`, "", "GET /v1/metrics"},
+		{[]string{"ctl", "status", "--console", at}, 0, "node-03                  by hand  for 90 s", "", "GET /v1/status"},
+		{[]string{"ctl", "status", "--console", at, "--format", "json"}, 0, `"avoided":[{"id":"node-03"`, "", "GET /v1/status"},
 		{[]string{"ctl", "suspend", "node/03", "--console", at}, 0, "done", "", "POST /v1/backends/node%2F03/suspend"},
 		{[]string{"ctl", "resume", "node/03", "--console", at}, 0, "done", "", "POST /v1/backends/node%2F03/resume"},
 		{[]string{"ctl", "suspend", "nobody", "--console", at}, 1, "", "no list has ever", "POST /v1/backends/nobody/suspend"},
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -22,6 +22,8 @@
 	Ready() bool
 	// Figures appends the figures to text.
 	Figures(text []byte) []byte
+	// Status says how this process stands, as JSON.
+	Status() ([]byte, error)
 	// Suspend takes a server out until Resume; once it has returned, nothing new begins to go there. It is an
 	// error if no list has ever named the server.
 	Suspend(ctx context.Context, id string) error
@@ -97,6 +99,12 @@
 		}
 		return
 	}
+	if path == "/v1/status" {
+		if allow(w, r, http.MethodGet, http.MethodHead) {
+			s.status(w)
+		}
+		return
+	}
 	rest, server := strings.CutPrefix(path, "/v1/backends/")
 	escaped, verb, _ := strings.Cut(rest, "/")
 	act, known := map[string]func(context.Context, string) error{"suspend": s.desk.Suspend, "resume": s.desk.Resume}[verb]
@@ -121,6 +129,16 @@
 	fmt.Fprintf(w, "%s: %s\n", verb, id)
 }
 
+func (s *Server) status(w http.ResponseWriter) {
+	text, err := s.desk.Status()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(text)
+}
+
 func (s *Server) ready(w http.ResponseWriter) {
 	if !s.desk.Ready() {
 		http.Error(w, "not taking clients", http.StatusServiceUnavailable)
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -30,6 +30,7 @@
 
 func (b *book) Ready() bool             { b.mu.Lock(); defer b.mu.Unlock(); return b.ready }
 func (b *book) Figures(t []byte) []byte { return append(t, "edge_relay.active:0|g\n"...) }
+func (b *book) Status() ([]byte, error) { return []byte(`{"ready":true}`), nil }
 func (b *book) note(what, id string) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -106,6 +107,8 @@
 		done   string // what reaches the desk
 	}{
 		{plain("GET", "/v1/readyz"), 200, "ready", ""},
+		{plain("GET", "/v1/status"), 200, `{"ready":true}`, ""},
+		{plain("POST", "/v1/status"), 405, "GET", ""},
 		{plain("GET", "/v1/metrics"), 200, "edge_relay.active:0|g", ""},
 		{plain("GET", "/v1/metrics?x=1"), 200, "edge_relay.active:0|g", ""},
 		{plain("POST", "/v1/backends/s1/suspend"), 200, "s1", "suspend s1"},
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -75,7 +76,9 @@
 	lastID   uint64
 	address  map[string]backends.Endpoint // of each server that the list has in service
 	listed   bool                         // a list with servers is held
-	closed   bool
+	// When a listed server was first seen to drain, and when one that is out was taken out by hand; for people.
+	drains, byHand map[string]time.Duration
+	closed         bool
 
 	timers  *timers
 	work    chan *attempt  // to workers that wait for some
@@ -121,6 +124,7 @@
 	i := &Instance{
 		started: time.Now(), backends: pool, watch: watch, log: log,
 		requests: map[string]*Request{}, address: map[string]backends.Endpoint{},
+		drains: map[string]time.Duration{}, byHand: map[string]time.Duration{},
 		work: make(chan *attempt), ending: make(chan struct{}),
 	}
 	i.timers = newTimers(i.now, i.timer)
@@ -295,6 +299,7 @@
 			delete(i.address, e.ID)
 		}
 	}
+	i.noteDrains(kind, entries)
 	i.listed = i.listed || len(i.address) > 0
 	i.traceList(kind, entries)
 	i.balancer.Update(i.now(), kind, entries)
@@ -325,15 +330,69 @@
 	if i.closed {
 		return false
 	}
+	now := i.now()
 	if out {
-		known = i.balancer.Suspend(i.now(), id)
+		known = i.balancer.Suspend(now, id)
 	} else {
-		known = i.balancer.Resume(i.now(), id)
+		known = i.balancer.Resume(now, id)
+	}
+	if _, already := i.byHand[id]; !out {
+		delete(i.byHand, id)
+	} else if known && !already {
+		i.byHand[id] = now
 	}
 	i.keep() // what is held to a server that is out leads to a process that will be restarted
 	return known
 }
 
+// noteDrains remembers since when servers drain; mu is held.
+func (i *Instance) noteDrains(kind balance.ListKind, entries []balance.Entry) {
+	before := i.drains
+	if kind == balance.Full || kind == balance.Cached {
+		i.drains = map[string]time.Duration{}
+	}
+	for _, e := range entries {
+		at, known := before[e.ID]
+		switch {
+		case e.State != balance.Draining:
+			delete(i.drains, e.ID)
+		case known:
+			i.drains[e.ID] = at
+		default:
+			i.drains[e.ID] = i.now()
+		}
+	}
+}
+
+// State is how an instance stands, for people.
+type State struct {
+	Now     time.Duration // of the clock that all times here are of
+	Carried balance.Carried
+	Since   map[string]time.Duration // when servers began to drain or were taken out by hand, as far as that was seen
+	InTurns int                      // servers that turns go to
+	Open    map[int]int              // requests that are not answered yet, by class
+}
+
+// State returns how the instance stands. It costs as much as there are servers and requests.
+func (i *Instance) State() State {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	s := State{Now: i.now(), Since: maps.Clone(i.drains), Open: map[int]int{}}
+	s.Carried = i.balancer.Carry(s.Now)
+	maps.Copy(s.Since, i.byHand)
+	for id := range i.address {
+		if i.balancer.InTurns(id) {
+			s.InTurns++
+		}
+	}
+	for _, q := range i.requests {
+		if !q.answered {
+			s.Open[q.message.Class]++
+		}
+	}
+	return s
+}
+
 // Carry returns what the balancer knows and where to dial the servers, for another instance to go on from.
 func (i *Instance) Carry() (balance.Carried, map[string]string) {
 	i.mu.Lock()
--- /dev/null
+++ b/internal/proxy/ban_story_test.go
@@ -0,0 +1,144 @@
+package proxy_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"brasswell/internal/config"
+	"brasswell/internal/standin"
+	"brasswell/internal/standin/audit"
+)
+
+var banSeeds = flag.Int("ban-seeds", 2, "how many stories of backends by hand are played, each with a seed of its own")
+
+// inUseWithin is how soon a backend that was put back has to get a request.
+const inUseWithin = 5 * time.Second
+
+// TestBansByHand takes random backends out by the console and puts them back, under load and while others fail, and has
+// the auditor look for what comes to one later than the grace after the console's yes.
+func TestBansByHand(t *testing.T) {
+	for seed := range *banSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playBans(t, uint64(seed))
+		})
+	}
+}
+
+func playBans(t *testing.T, seed uint64) {
+	f, err := standin.NewFleet(standin.FleetConfig{Seed: seed, Backends: 6, Rules: rules()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	console := l.Addr().String()
+	l.Close()
+	text, err := f.Config(64, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(text, &fields); err != nil {
+		t.Fatal(err)
+	}
+	fields["console"] = console
+	if text, err = json.Marshal(fields); err != nil {
+		t.Fatal(err)
+	}
+	p, err := config.NewProxy(text, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving, stop := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- p.Serve(serving) }()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	say := func(id, verb string) {
+		resp, err := client.Post("http://"+console+"/v1/backends/"+id+"/"+verb, "", nil)
+		if err != nil {
+			t.Errorf("%s %s: %v", verb, id, err)
+			return
+		}
+		defer resp.Body.Close()
+		if answer, _ := io.ReadAll(resp.Body); resp.StatusCode != 200 {
+			t.Errorf("%s %s: %d %s", verb, id, resp.StatusCode, answer)
+		}
+	}
+
+	dice := rand.New(rand.NewPCG(seed, 17))
+	var script standin.Script
+	script.Length = time.Minute // at most: the load ends with the story
+	script.Load = standin.Load{Rate: 100, Retries: 2, Backoff: 5 * time.Millisecond, Slack: rules().AnswerSlack}
+	for _, kind := range []string{"fail", "slow", "reset-after"}[:dice.IntN(3)+1] {
+		script.Steps = append(script.Steps, step(kind, 6, dice))
+	}
+	ctx, end := context.WithCancel(t.Context())
+	var playing sync.WaitGroup
+	playing.Go(func() {
+		if err := f.Play(ctx, script, f.Callers(p.Addr().String()), nil); err != nil {
+			t.Error(err)
+		}
+	})
+	bans, slowest := 0, time.Duration(0)
+	for range 2 + dice.IntN(3) {
+		time.Sleep(time.Duration(dice.IntN(200)) * time.Millisecond)
+		who := dice.Perm(6)[:1+dice.IntN(3)]
+		for _, i := range who {
+			id := f.Backends[i].State().ID
+			say(id, "suspend")
+			f.Books.ByHand(id, true)
+			bans++
+		}
+		time.Sleep(rules().DrainGrace + time.Duration(dice.IntN(300))*time.Millisecond)
+		for _, i := range who {
+			id := f.Backends[i].State().ID
+			if dice.IntN(4) == 0 {
+				say(id, "suspend") // again, which changes nothing
+			}
+			before := f.Backends[i].State().Arrived
+			f.Books.ByHand(id, false)
+			back := time.Now()
+			say(id, "resume")
+			for f.Backends[i].State().Arrived == before {
+				if time.Since(back) > inUseWithin {
+					t.Errorf("%s is back and gets nothing", id)
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			slowest = max(slowest, time.Since(back))
+		}
+	}
+	end()
+	playing.Wait()
+	stop()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	f.Books.Settle()
+	r := f.Books.Report()
+	if !r.Kept() {
+		t.Errorf("%v of %v checks: %+v", r.Broken, r.Checks, r.Cases)
+	}
+	if r.Latest > rules().DrainGrace { // the auditor's own slack is longer than most bans here
+		t.Errorf("something came %v after the yes", r.Latest)
+	}
+	if r.Checks[audit.Drains] < bans {
+		t.Errorf("%d bans, and %d notices to check", bans, r.Checks[audit.Drains])
+	}
+	t.Logf("%d bans, %d requests, %d served; the latest came %v after a yes, the slowest was in use after %v", bans, r.Asked, r.Served, r.Latest, slowest)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -99,6 +99,7 @@
 	discovery *discovery.Client
 	http      *http.Server
 	figures   *figures.Book
+	settings  *settings.Settings
 	console   *console.Server // nil where operators have no address
 	channels  *channel.Table  // nil where there are none
 	accepting atomic.Bool     // callers' connections are taken
@@ -143,7 +144,7 @@
 	}
 	p := &Proxy{
 		callers: callers.NewSet(most.soft, most.hard, c.Options.Callers.OnceIdle),
-		restart: restart.New(), log: c.Log, figures: book,
+		restart: restart.New(), log: c.Log, figures: book, settings: s,
 		bodies: body.NewBudget(most.bodies), limits: most,
 		backends: backends.NewPool(backends.Limits{
 			Conns: most.backends, ConnectTimeout: s.ConnectTimeout, ConnIdle: s.ConnIdle,
--- /dev/null
+++ b/internal/proxy/status.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"encoding/json"
+	"os"
+	"strconv"
+	"strings"
+
+	"brasswell/internal/status"
+)
+
+// Status says how the proxy stands, as JSON.
+func (d desk) Status() ([]byte, error) {
+	h := d.host.State()
+	listed, _ := d.host.Pool()
+	s := status.Status{
+		Ready: d.Ready(), Leaving: d.restart.Begun(), Listed: listed, InTurns: h.InTurns, Limit: h.Carried.Limit, Open: map[string]int{},
+		Avoided: status.Servers(h.Now, d.settings.Balancer.WarmUp, h.Carried, h.Since),
+		Callers: d.callers.States(), Backends: d.backends.States(),
+		MemoryMB: memoryMB(), Descriptors: descriptors(),
+	}
+	for n, name := range d.settings.Classes {
+		s.Open[name] = h.Open[n]
+	}
+	if d.channels != nil {
+		s.Channels = d.channels.Len()
+	}
+	return json.Marshal(&s)
+}
+
+// memoryMB is what this process holds, in MB of 2^20 bytes; 0 if the system does not say.
+func memoryMB() float64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.Atoi(fields[1])
+	if err != nil {
+		return 0
+	}
+	return float64(pages) * float64(os.Getpagesize()) / (1 << 20)
+}
+
+// descriptors is how many this process holds, less the one that it takes to count them; 0 if that cannot be told.
+func descriptors() int {
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return 0
+	}
+	return len(entries) - 1
+}
--- /dev/null
+++ b/internal/proxy/status_test.go
@@ -0,0 +1,63 @@
+package proxy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"brasswell/internal/status"
+)
+
+func TestStatusTellsWhoIsAvoidedAndWhatIsOpen(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", func(id string) string {
+		if id == "never" {
+			return ""
+		}
+		return whole(id)
+	})
+	var hosts []string
+	for _, id := range []string{"s1", "s2", "s3"} {
+		hosts = append(hosts, entry(id, b.address, "up"))
+	}
+	g := newRig(t, nil, hosts...)
+	read := func() *status.Status {
+		t.Helper()
+		text, err := desk{g.Proxy}.Status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := status.Read(string(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	if s := read(); len(s.Avoided) != 0 || s.Listed != 3 || s.InTurns != 3 || s.Open["search"] != 0 || s.MemoryMB <= 0 || s.Descriptors <= 0 {
+		t.Errorf("%+v", s)
+	}
+	await(t, "the watch", g.registry.calls)
+	g.registry.lists <- list(2, false, entry("s2", b.address, "draining"))
+	await(t, "the next watch", g.registry.calls)
+	g.host.ByHand("s1", true)
+	waits, idles := g.dial().send(head("never")), g.dial()
+	idles.send(head("a")).answer()
+	for range 2 {
+		await(t, "the requests", b.requests)
+	}
+	s := read()
+	if got := fmt.Sprint(s.Avoided); got != "[{s1 by hand 0 0 } {s2 drains 0 0 }]" && got != "[{s1 by hand 1 0 } {s2 drains 1 0 }]" {
+		t.Errorf("avoided %s", got)
+	}
+	// Connections come to rest a little after their answer is out.
+	for end := time.Now().Add(patient); s.Open["search"] != 1 || s.Callers["busy"] != 1 || s.Callers["once"] != 1 || s.Backends["busy"] != 1; s = read() {
+		if time.Now().After(end) {
+			t.Fatalf("%+v", s)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	g.host.ByHand("s1", false)
+	if s := read(); len(s.Avoided) != 1 && len(s.Avoided) != 2 { // it is back, and cold where the settings know of that
+		t.Errorf("%+v", s.Avoided)
+	}
+	waits.Close()
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -64,6 +64,11 @@
 	return r
 }
 
+// ByHand notes that an operator was told yes: a backend is out, or back.
+func (b *Books) ByHand(id string, out bool) {
+	b.note(func(a *audit.Auditor, now time.Duration) { a.Told(now, id, out) })
+}
+
 // Settle closes the books: what is open has been lost.
 func (b *Books) Settle() { b.note(func(a *audit.Auditor, now time.Duration) { a.Settle(now) }) }
 
--- /dev/null
+++ b/internal/status/status_test.go
@@ -0,0 +1,83 @@
+package status
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"brasswell/balance"
+)
+
+func TestWhoIsAvoidedAndWhy(t *testing.T) {
+	const now, warmUp = 1000 * time.Second, 20 * time.Second
+	server := func(id string, change func(*balance.CarriedServer)) balance.CarriedServer {
+		s := balance.CarriedServer{Entry: balance.Entry{ID: id}}
+		if change != nil {
+			change(&s)
+		}
+		return s
+	}
+	c := balance.Carried{
+		Banned: []string{"hand", "hand-failing", "gone-by-hand", "unlisted"},
+		Servers: []balance.CarriedServer{
+			server("sound", nil),
+			server("hand", nil),
+			server("hand-failing", func(s *balance.CarriedServer) { s.Ejected = now + time.Second }),
+			server("gone-by-hand", func(s *balance.CarriedServer) { s.Entry.State = balance.Gone }),
+			server("gone", func(s *balance.CarriedServer) { s.Entry.State = balance.Gone }),
+			server("drains", func(s *balance.CarriedServer) { s.Entry.State = balance.Draining }),
+			server("fails", func(s *balance.CarriedServer) {
+				s.Ejected, s.Ejections, s.FailRate = now+3500*time.Millisecond, 2, 0.75
+			}),
+			server("due", func(s *balance.CarriedServer) { s.Ejected, s.Ejections = now-time.Second, 1 }),
+			server("cold", func(s *balance.CarriedServer) { s.Entry.Boot = now - 5*time.Second }),
+			server("resumed", func(s *balance.CarriedServer) { s.Entry.Boot, s.Resumed = now-time.Hour, now-time.Second }),
+			server("warm", func(s *balance.CarriedServer) { s.Entry.Boot = now - warmUp }),
+		},
+	}
+	since := map[string]time.Duration{"hand": now - 90*time.Second, "drains": now - 1500*time.Millisecond}
+	want := []Avoided{
+		{ID: "cold", Why: Cold, ForS: 5, Left: 15},
+		{ID: "drains", Why: Draining, ForS: 2},
+		{ID: "due", Why: Failing, ForS: -1, Note: "1 times in a row; 0% of its last answers failed"},
+		{ID: "fails", Why: Failing, ForS: -1, Left: 4, Note: "2 times in a row; 75% of its last answers failed"},
+		{ID: "gone-by-hand", Why: ByHand, ForS: -1},
+		{ID: "hand", Why: ByHand, ForS: 90},
+		{ID: "hand-failing", Why: ByHand, ForS: -1},
+		{ID: "resumed", Why: Cold, ForS: 1, Left: 19},
+		{ID: "unlisted", Why: ByHand, ForS: -1, Note: "not listed now"},
+	}
+	if got := Servers(now, warmUp, c, since); !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v\nwant %+v", got, want)
+	}
+}
+
+func TestTextFitsAScreen(t *testing.T) {
+	s := &Status{Ready: true, Listed: 100, InTurns: 12, Limit: 63.6, Open: map[string]int{"search": 3, "hold": 1}, Callers: map[string]int{"busy": 4}, Descriptors: 40, MemoryMB: 12.25}
+	for i := range 100 {
+		s.Avoided = append(s.Avoided, Avoided{ID: fmt.Sprint("node-", i), Why: Failing, ForS: -1, Left: 3})
+	}
+	encoded, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := Read(string(encoded))
+	if err != nil || !reflect.DeepEqual(back.Avoided, s.Avoided) || back.Limit != s.Limit {
+		t.Errorf("%+v, %v", back, err)
+	}
+	text := s.Text()
+	if n := strings.Count(text, "\n"); n > 40 {
+		t.Errorf("%d lines", n)
+	}
+	for _, want := range []string{"takes clients; 100 backends listed, 12 in turns, 100 avoided", "node-7 ", "fails", "3 s to go", "and 70 more", "limit     64", "hold 1  search 3", "12.2 MB, 40 descriptors"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in\n%s", want, text)
+		}
+	}
+	if _, err := Read("no status"); err == nil {
+		t.Error("nonsense is read")
+	}
+}
