--- a/bench/child_test.go
+++ b/bench/child_test.go
@@ -40,6 +40,8 @@
 		err = runBrasswell()
 	case "channels":
 		err = runChannels()
+	case "idle-brasswell", "idle-net-http", "idle-parked", "idle-epoll":
+		err = runIdle(role)
 	case "tcp-relay":
 		err = runTCPRelay(false)
 	case "library-relay":
--- /dev/null
+++ b/bench/idle_test.go
@@ -0,0 +1,195 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"brasswell/internal/proxy"
+)
+
+var idleConns = flag.String("idle-conns", "200", "how many idle connections TestCostOfIdleConnections holds, one figure after the other")
+
+// runIdle holds callers' connections in one of the ways that are weighed for those that do nothing: by the proxy as it
+// is, by net/http, each by a goroutine that waits with no buffer, or by an epoll set with no goroutine. The last two answer nothing.
+func runIdle(way string) error {
+	debug.SetMemoryLimit(3 << 30)
+	if way == "idle-brasswell" {
+		return runIdleBrasswell()
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	switch way {
+	case "idle-net-http":
+		go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "0") }))
+	case "idle-parked":
+		go serveBare(l, func(c *net.TCPConn) {
+			raw, err := c.SyscallConn()
+			if err != nil {
+				return
+			}
+			go wait(raw, c)
+		})
+	case "idle-epoll":
+		set, err := syscall.EpollCreate1(0)
+		if err != nil {
+			return err
+		}
+		go serveBare(l, func(c *net.TCPConn) {
+			f, err := c.File() // a copy that the runtime's poller knows nothing of
+			if err != nil {
+				return
+			}
+			fd, err := syscall.Dup(int(f.Fd()))
+			f.Close()
+			c.Close()
+			if err == nil {
+				syscall.EpollCtl(set, syscall.EPOLL_CTL_ADD, fd, &syscall.EpollEvent{Events: syscall.EPOLLIN | syscall.EPOLLRDHUP, Fd: int32(fd)})
+			}
+		})
+		go func() {
+			events := make([]syscall.EpollEvent, 256)
+			for {
+				n, err := syscall.EpollWait(set, events, -1)
+				if err != nil && err != syscall.EINTR {
+					return
+				}
+				for i := range max(n, 0) {
+					syscall.Close(int(events[i].Fd))
+				}
+			}
+		}()
+	}
+	fmt.Println(l.Addr())
+	return report()
+}
+
+// serveBare reads each connection's one request, answers it with plain reads and writes, and gives the connection away.
+func serveBare(l net.Listener, idle func(*net.TCPConn)) {
+	buf := make([]byte, 4<<10)
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		n, err := c.Read(buf)
+		if err != nil || !strings.HasSuffix(string(buf[:n]), "\r\n\r\n") {
+			c.Close()
+			continue
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		idle(c.(*net.TCPConn))
+	}
+}
+
+// wait returns once a connection has something to read, or is over.
+func wait(raw syscall.RawConn, c *net.TCPConn) {
+	raw.Read(func(fd uintptr) bool {
+		var b byte
+		_, _, errno := syscall.Syscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b)), 1, syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+		return errno != syscall.EAGAIN
+	})
+	c.Close()
+}
+
+func runIdleBrasswell() error {
+	var hosts []map[string]any
+	for i, address := range backendsGiven() {
+		hosts = append(hosts, map[string]any{"host": fmt.Sprintf("node-%d", i), "dial": address, "site": "room", "health": "up"})
+	}
+	text, err := json.Marshal(map[string]any{
+		"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 4096, "sockets": 60_000}, // of which a half is for callers
+		"known":  map[string]any{"seq": 1, "whole": true, "hosts": hosts},
+		"settings": map[string]any{
+			"instances": 1, "discovery": "push", "zones": []string{"room"},
+			"request_classes": []any{map[string]any{"name": "search", "aim_ms": 750, "give_up_ms": 2000, "effect": "free", "worth": 1}},
+			"limits":          map[string]any{"cancel": true, "max_attempts": 5, "conn_idle_ms": 5000, "connect_timeout_ms": 150},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	p, err := channelProxy(text, func(o *proxy.Options) {
+		o.Channels.On = false
+		o.Callers.IdleTimeout, o.Callers.OnceIdle = time.Hour, time.Hour
+	})
+	if err != nil {
+		return err
+	}
+	go p.Serve(context.Background())
+	fmt.Println(p.Addr())
+	return report()
+}
+
+// TestCostOfIdleConnections measures what a connection costs that has carried one request and does nothing: memory of
+// the process, CPU to take it in with its request, and CPU of all at rest.
+func TestCostOfIdleConnections(t *testing.T) {
+	backends := start(t, "backends", "")
+	for _, text := range strings.Fields(*idleConns) {
+		var n int
+		if _, err := fmt.Sscan(text, &n); err != nil {
+			t.Fatal(err)
+		}
+		for _, way := range []string{"idle-brasswell", "idle-net-http", "idle-parked", "idle-epoll"} {
+			t.Run(fmt.Sprint(way, "/", n), func(t *testing.T) {
+				p := start(t, way, backends.first)
+				var mu sync.Mutex
+				var open []net.Conn
+				defer func() {
+					for _, c := range open {
+						c.Close()
+					}
+				}()
+				begin := func(from, to int) {
+					var all sync.WaitGroup
+					for k := range 8 {
+						all.Go(func() {
+							buf := make([]byte, 4<<10)
+							for i := from + k; i < to; i += 8 {
+								c, err := net.Dial("tcp", p.first)
+								if err != nil {
+									t.Error(err)
+									return
+								}
+								mu.Lock()
+								open = append(open, c)
+								mu.Unlock()
+								fmt.Fprintf(c, "GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: %d\r\nX-Lane: search\r\nX-Remaining-Ms: 2000\r\n\r\n", i)
+								if m, err := c.Read(buf); err != nil || !strings.HasPrefix(string(buf[:m]), "HTTP/1.1 200") {
+									t.Errorf("%.60q, %v", buf[:m], err)
+									return
+								}
+							}
+						})
+					}
+					all.Wait()
+				}
+				begin(0, n/10)
+				memory, used := resident(t, p.cmd.Process.Pid), p.usage(t)
+				begin(n/10, n)
+				taken := p.usage(t)
+				time.Sleep(time.Second)
+				after := resident(t, p.cmd.Process.Pid)
+				rest := p.usage(t)
+				time.Sleep(time.Second)
+				rested := p.usage(t)
+				more := float64(n - n/10)
+				t.Logf("%-14s %6d idle: %5.1f KiB each (%.0f MiB in all), %5.1f us of CPU to take one in, %.2f%% of a core at rest",
+					way, n, (after-memory)*1024/more, after, (taken.CPU-used.CPU)*1e6/more, 100*(rested.CPU-rest.CPU))
+			})
+		}
+	}
+}
