Take backends out by hand beside every other fault, and in the demo

A ban by hand was tried alone and over upgrades, never beside other faults. The demo has an act with it. Proxy.ByHand is what the console called before.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -79,8 +79,9 @@
 		{"node-03 runs 8 times slower", 0.15, 0.35, &standin.Step{Do: "slow", Who: []int{3}, Size: 8}},
 		{"node-05 is dead", 0.35, 0.45, &standin.Step{Do: "die", Who: []int{5}}},
 		{"node-05 is back, cold", 0.45, 0.6, nil},
-		{"node-01 drains", 0.6, 0.72, &standin.Step{Do: "drain", Who: []int{1}}},
-		{"a surge of 2.4 times the usual", 0.72, 0.9, &standin.Step{Do: "surge", Size: 2.4}},
+		{"node-01 drains", 0.6, 0.68, &standin.Step{Do: "drain", Who: []int{1}}},
+		{"node-06 is taken out by hand", 0.68, 0.76, &standin.Step{Do: "by-hand", Who: []int{6}}},
+		{"a surge of 2.4 times the usual", 0.76, 0.9, &standin.Step{Do: "surge", Size: 2.4}},
 		{"calm again", 0.9, 1, nil},
 	}
 }
@@ -122,6 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.OnHand = func(id string, out bool) error { return p.ByHand(ctx, id, out) }
 	serving, stop := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- p.Serve(serving) }()
--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -25,15 +25,16 @@
 	return text
 }
 
-func (d desk) Suspend(ctx context.Context, id string) error { return d.byHand(ctx, id, true) }
+func (d desk) Suspend(ctx context.Context, id string) error { return d.ByHand(ctx, id, true) }
 
-func (d desk) Resume(ctx context.Context, id string) error { return d.byHand(ctx, id, false) }
+func (d desk) Resume(ctx context.Context, id string) error { return d.ByHand(ctx, id, false) }
 
-// byHand takes a server out or puts it back, here and in the other process of this proxy, if there is one.
-func (d desk) byHand(ctx context.Context, id string, out bool) error {
-	known := d.host.ByHand(id, out)
-	if d.upgrade != nil {
-		known = d.upgrade.tell(ctx, id, out) || known
+// ByHand takes a server out or puts it back, here and in the other process of this proxy, if there is one. Once it has
+// returned from taking one out, nothing new begins to go there.
+func (p *Proxy) ByHand(ctx context.Context, id string, out bool) error {
+	known := p.host.ByHand(id, out)
+	if p.upgrade != nil {
+		known = p.upgrade.tell(ctx, id, out) || known
 	}
 	return named(id, known)
 }
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -39,6 +39,7 @@
 		t.Fatal(err)
 	}
 	f.OnMove = p.MoveDiscovery
+	f.OnHand = func(id string, out bool) error { return p.ByHand(context.Background(), id, out) }
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- p.Serve(ctx) }()
@@ -64,7 +65,7 @@
 	case "storm":
 		s.Size = 40
 	}
-	if kind != "drain" { // which must outlast the grace
+	if kind != "drain" && kind != "by-hand" { // which must outlast the grace
 		s.For = time.Duration(300+dice.IntN(400)) * time.Millisecond
 	}
 	return s
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -59,6 +59,9 @@
 	Discovery *Discovery
 	// OnMove is called with discovery's new address once it has moved; set it before Play.
 	OnMove func(address string)
+	// OnHand takes a backend out at the proxy, or puts it back, as an operator does; set it before Play. Without it that
+	// fault does nothing.
+	OnHand func(id string, out bool) error
 	config FleetConfig
 }
 
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -70,6 +70,7 @@
 	"silent":       onBackends(func(f *Faults, size float64) { f.Silent = size > 0 }),
 	"drain":        drain,
 	"die":          die,
+	"by-hand":      byHand,
 	"surge": func(p *play, s Step) (func() error, error) {
 		p.callers.Surge(s.Size)
 		return func() error { p.callers.Surge(1); return nil }, nil
@@ -145,6 +146,32 @@
 	}, nil
 }
 
+// byHand takes backends out at the proxy, and puts them back. They serve on, and the list says nothing of it.
+func byHand(p *play, s Step) (func() error, error) {
+	if p.fleet.OnHand == nil {
+		return nil, nil
+	}
+	say := func(out bool) error {
+		for _, i := range s.Who {
+			id := p.fleet.Backends[i].config.ID
+			if !out { // before the proxy hears of it: a request may come at once
+				p.fleet.Books.ByHand(id, false)
+			}
+			if err := p.fleet.OnHand(id, out); err != nil {
+				return err
+			}
+			if out {
+				p.fleet.Books.ByHand(id, true)
+			}
+		}
+		return nil
+	}
+	if err := say(true); err != nil {
+		return nil, err
+	}
+	return func() error { return say(false) }, nil
+}
+
 // die ends backends at once; the list learns of it a little later, and at the end they return cold.
 func die(p *play, s Step) (func() error, error) {
 	for _, i := range s.Who {
