--- a/internal/proxy/channel_test.go
+++ b/internal/proxy/channel_test.go
@@ -991,7 +991,7 @@
 			}
 		})
 	}
-	on := len(a.conns)
+	on := len(a.heads) // which has come before its answer
 	if !g.host.ByHand("a", true) {
 		t.Fatal("not known")
 	}
