Use the one token bucket, figure line and bench file that were there, and drop dead state

Read again: channel/plan had a token bucket beside estimate.Bucket, which gains Fill; channel's figures wrote lines as package figures does (AppendLine); an upgrade and an ordinary attempt judged a connection that did not come up by the same lines (unconnected), and Retry-After was written twice. The bench held the proxy's file three times, the tests three ways to serve a proxy. The relay's tenant, its callback and claim's answer were never used.

--- a/bench/channel_test.go
+++ b/bench/channel_test.go
@@ -115,7 +115,7 @@
 	return report()
 }
 
-// channelProxy is a proxy with channels on; hosts is its server list.
+// channelProxy is the proxy of a platform's file with channels on, and what change makes of its options.
 func channelProxy(text []byte, change func(*proxy.Options)) (*proxy.Proxy, error) {
 	platform, err := config.ParsePlatform(text)
 	if err != nil {
@@ -133,18 +133,7 @@
 }
 
 func runChannels() error {
-	text, err := json.Marshal(map[string]any{
-		"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-		"limits": map[string]any{"cores": 1, "memory_mb": 1024, "sockets": 20_000},
-		"known": map[string]any{"seq": 1, "whole": true, "hosts": []any{
-			map[string]any{"host": "node-0", "dial": backendsGiven()[0], "site": "room", "health": "up"},
-		}},
-		"settings": map[string]any{
-			"instances": 1, "discovery": "push", "zones": []string{"room"},
-			"request_classes": []any{map[string]any{"name": "search", "aim_ms": 7500, "give_up_ms": 20000, "effect": "free", "worth": 1}},
-			"limits":          map[string]any{"cancel": true, "max_attempts": 5, "conn_idle_ms": 5000, "connect_timeout_ms": 150},
-		},
-	})
+	text, err := platformFile(backendsGiven()[:1], 1024, 20_000, 7500, 20_000)
 	if err != nil {
 		return err
 	}
@@ -154,9 +143,7 @@
 	if err != nil {
 		return err
 	}
-	go p.Serve(context.Background())
-	fmt.Println(p.Addr())
-	return report()
+	return serveAndReport(p)
 }
 
 const stormRateVariable = "BRASSWELL_BENCH_STORM_RATE"
@@ -174,9 +161,7 @@
 	if err != nil {
 		return err
 	}
-	go p.Serve(context.Background())
-	fmt.Println(p.Addr())
-	return report()
+	return serveAndReport(p)
 }
 
 // runChannelClients comes with many clients at once, half by each of two proxies, and prints their tally four times a
--- a/bench/child_test.go
+++ b/bench/child_test.go
@@ -24,6 +24,7 @@
 	"testing"
 
 	"brasswell/internal/config"
+	"brasswell/internal/proxy"
 )
 
 // childRole is the variable that makes the test binary one of the processes that are measured.
@@ -200,21 +201,33 @@
 // backendsGiven are the addresses that the parent passed on.
 func backendsGiven() []string { return strings.Fields(os.Getenv("BRASSWELL_BENCH_ARGUMENT")) }
 
-func runBrasswell() error {
+// platformFile is the platform's file of one proxy before backends whose only class has so long to be answered.
+func platformFile(addresses []string, memoryMB, sockets, aimMS, giveUpMS int) ([]byte, error) {
 	var hosts []map[string]any
-	for i, address := range backendsGiven() {
+	for i, address := range addresses {
 		hosts = append(hosts, map[string]any{"host": fmt.Sprintf("node-%d", i), "dial": address, "site": "room", "health": "up"})
 	}
-	text, err := json.Marshal(map[string]any{
+	return json.Marshal(map[string]any{
 		"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 1024},
+		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
 		"known":  map[string]any{"seq": 1, "whole": true, "hosts": hosts},
 		"settings": map[string]any{
 			"instances": 1, "discovery": "push", "zones": []string{"room"},
-			"request_classes": []any{map[string]any{"name": "search", "aim_ms": 750, "give_up_ms": 2000, "effect": "free", "worth": 1}},
+			"request_classes": []any{map[string]any{"name": "search", "aim_ms": aimMS, "give_up_ms": giveUpMS, "effect": "free", "worth": 1}},
 			"limits":          map[string]any{"cancel": true, "max_attempts": 5, "conn_idle_ms": 5000, "connect_timeout_ms": 150},
 		},
 	})
+}
+
+// serveAndReport serves a proxy until input ends.
+func serveAndReport(p *proxy.Proxy) error {
+	go p.Serve(context.Background())
+	fmt.Println(p.Addr())
+	return report()
+}
+
+func runBrasswell() error {
+	text, err := platformFile(backendsGiven(), 64, 1024, 750, 2000)
 	if err != nil {
 		return err
 	}
@@ -222,9 +235,7 @@
 	if err != nil {
 		return err
 	}
-	go p.Serve(context.Background())
-	fmt.Println(p.Addr())
-	return report()
+	return serveAndReport(p)
 }
 
 // bufferPool keeps ReverseProxy from allocating 32 KiB for each answer.
--- a/bench/idle_test.go
+++ b/bench/idle_test.go
@@ -1,8 +1,6 @@
 package bench
 
 import (
-	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net"
@@ -105,20 +103,7 @@
 }
 
 func runIdleBrasswell() error {
-	var hosts []map[string]any
-	for i, address := range backendsGiven() {
-		hosts = append(hosts, map[string]any{"host": fmt.Sprintf("node-%d", i), "dial": address, "site": "room", "health": "up"})
-	}
-	text, err := json.Marshal(map[string]any{
-		"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-		"limits": map[string]any{"cores": 1, "memory_mb": 4096, "sockets": 60_000}, // of which a half is for callers
-		"known":  map[string]any{"seq": 1, "whole": true, "hosts": hosts},
-		"settings": map[string]any{
-			"instances": 1, "discovery": "push", "zones": []string{"room"},
-			"request_classes": []any{map[string]any{"name": "search", "aim_ms": 750, "give_up_ms": 2000, "effect": "free", "worth": 1}},
-			"limits":          map[string]any{"cancel": true, "max_attempts": 5, "conn_idle_ms": 5000, "connect_timeout_ms": 150},
-		},
-	})
+	text, err := platformFile(backendsGiven(), 4096, 60_000, 750, 2000) // of the sockets nearly a half is for callers
 	if err != nil {
 		return err
 	}
@@ -129,9 +114,7 @@
 	if err != nil {
 		return err
 	}
-	go p.Serve(context.Background())
-	fmt.Println(p.Addr())
-	return report()
+	return serveAndReport(p)
 }
 
 // TestCostOfIdleConnections measures what a connection costs that has carried one request and does nothing: memory of
--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -83,11 +83,7 @@
 	for {
 		c, reused, err := p.get(ctx, to)
 		if err != nil {
-			outcome := connectOutcome(ctx, err)
-			if outcome == balance.ConnectError {
-				p.distrust(to)
-			}
-			return outcome, nil
+			return p.unconnected(ctx, to, err), nil
 		}
 		left, wanted := a.Begin()
 		if !wanted {
@@ -112,6 +108,15 @@
 	}
 }
 
+// unconnected is the outcome of an attempt that got no connection.
+func (p *Pool) unconnected(ctx context.Context, to Endpoint, err error) balance.Outcome {
+	outcome := connectOutcome(ctx, err)
+	if outcome == balance.ConnectError {
+		p.distrust(to)
+	}
+	return outcome
+}
+
 // receive reads the answer whose head has come.
 func (p *Pool) receive(ctx context.Context, c *conn, resp *http.Response, a Attempt) (balance.Outcome, *Reply) {
 	c.watchRest()
--- a/internal/backends/upgrade.go
+++ b/internal/backends/upgrade.go
@@ -28,18 +28,14 @@
 // anything else than 101 does not speak the protocol on this path, whichever of them is asked.
 func (p *Pool) Upgrade(ctx context.Context, to Endpoint, m *Message, a Attempt) (balance.Outcome, *Reply) {
 	if err := p.reserve(); err != nil {
-		return connectOutcome(ctx, err), nil
+		return p.unconnected(ctx, to, err), nil
 	}
 	defer p.unreserve() // a channel counts elsewhere
 	dialCtx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
 	nc, err := p.dialer.DialContext(dialCtx, "tcp", to.Address)
 	if err != nil {
-		outcome := connectOutcome(ctx, err)
-		if outcome == balance.ConnectError {
-			p.distrust(to)
-		}
-		return outcome, nil
+		return p.unconnected(ctx, to, err), nil
 	}
 	left, wanted := a.Begin()
 	if !wanted {
--- a/internal/channel/channel.go
+++ b/internal/channel/channel.go
@@ -11,7 +11,6 @@
 	"net"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,7 @@
 	"brasswell/internal/channel/handshake"
 	"brasswell/internal/channel/plan"
 	"brasswell/internal/channel/ticket"
+	"brasswell/internal/figures"
 )
 
 // Table is the channels of one proxy. It is safe for concurrent use.
@@ -193,9 +193,9 @@
 }
 
 // Open relays a channel whose 101 the client has been sent, until it is over; it does not wait for that. Both sockets
-// belong to the table from now on; over is called once when both are closed.
-func (t *Table) Open(a Admission, server string, ends Ends, agreed handshake.Agreement, over func()) {
-	r := &relay{table: t, node: server, tenant: a.Tenant, over: over}
+// belong to the table from now on.
+func (t *Table) Open(a Admission, server string, ends Ends, agreed handshake.Agreement) {
+	r := &relay{table: t, node: server}
 	rules := rulesOf(agreed, &t.options)
 	var errs [plan.Sides]error
 	r.ends[plan.Client], errs[plan.Client] = newEnd(plan.Client, ends.Client, nil, rules[plan.Client], t)
@@ -206,7 +206,6 @@
 		t.mu.Unlock()
 		ends.Client.Close()
 		ends.Server.Close()
-		r.over()
 		return
 	}
 	t.last++
@@ -228,7 +227,6 @@
 	delete(t.relays, r.id)
 	t.plan.Closed(r.id)
 	t.mu.Unlock()
-	r.over()
 	t.done.Done()
 }
 
@@ -284,12 +282,10 @@
 	t.done.Wait()
 }
 
-// Append writes the channels' figures to text, one a line, under a prefix and in the form of the other figures.
-func (t *Table) Append(text []byte, prefix string) []byte {
+// Append writes the channels' figures to text, one a line.
+func (t *Table) Append(text []byte) []byte {
 	line := func(name string, value int64, kind byte) {
-		text = append(append(text, prefix...), name...)
-		text = strconv.AppendInt(append(text, ':'), value, 10)
-		text = append(text, '|', kind, '\n')
+		text = figures.AppendLine(text, name, value, kind)
 	}
 	t.mu.Lock()
 	held := t.plan.Held()
--- a/internal/channel/plan/line.go
+++ b/internal/channel/plan/line.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"brasswell/internal/channel/ticket"
+	"brasswell/internal/estimate"
 )
 
 // Answer is what becomes of a request for a channel.
@@ -20,13 +21,13 @@
 // Not all come back: some give up, some never keep a ticket. Places are given as closely as the share of them that
 // was claimed allows, or the rate would stand idle behind places of those that have left.
 type line struct {
-	tail   time.Duration // the last place given
-	bins   []bin         // by time, a ring
-	from   int64         // the bin up to which places are due
-	due    int           // places whose time has come within the last binGrace, not claimed yet
-	tokens bucket        // of what is let in
-	idle   bool          // tokens are lost: nobody with a place wants them
-	claims float64       // the share of places that is claimed
+	tail   time.Duration   // the last place given
+	bins   []bin           // by time, a ring
+	from   int64           // the bin up to which places are due
+	due    int             // places whose time has come within the last binGrace, not claimed yet
+	tokens estimate.Bucket // of what is let in
+	idle   bool            // tokens are lost: nobody with a place wants them
+	claims float64         // the share of places that is claimed
 }
 
 type bin struct {
@@ -99,18 +100,17 @@
 	return at
 }
 
-// claim takes a place that is due out of the count, and says whether it was kept.
-func (l *line) claim(at time.Duration) bool {
+// claim takes a place out of the count, unless its grace is over.
+func (l *line) claim(at time.Duration) {
 	step := int64(at / binStep)
 	b := &l.bins[step%int64(len(l.bins))]
 	if b.step != step || b.unclaimed == 0 {
-		return false // its grace is over
+		return
 	}
 	b.unclaimed--
 	if step <= l.from {
 		l.due--
 	}
-	return true
 }
 
 // Ask says whether a request for a channel is let in. It is counted as being opened until Opened or GivenUp. t is the
@@ -130,8 +130,8 @@
 	l := &p.line
 	// What is due may come up to binGrace late: its tokens are kept for it.
 	most := max(burst*rate, 1) + float64(l.due)
-	l.tokens.fill(now, rate, most)
-	l.idle = l.tokens.tokens >= most
+	l.tokens.Fill(now, rate, most)
+	l.idle = l.tokens.Tokens >= most
 	if p.leaving || len(p.channels)+p.opening >= p.set.Channels ||
 		p.set.TenantChannels > 0 && p.tenants[tenant] >= p.set.TenantChannels {
 		a := p.refuse(now, t, 0)
@@ -139,7 +139,7 @@
 		return a
 	}
 	if rate > 0 && p.comesIn(now, t) {
-		l.tokens.tokens--
+		l.tokens.Tokens--
 		if t != nil {
 			p.spent.Add(key(t.Nonce))
 			if t.Slot > 0 {
@@ -155,10 +155,10 @@
 
 func (p *Plan) comesIn(now time.Duration, t *ticket.Ticket) bool {
 	l := &p.line
-	spare := l.tokens.tokens - float64(l.due)
+	spare := l.tokens.Tokens - float64(l.due)
 	switch {
 	case t != nil && t.Slot > 0 && now >= t.Slot:
-		return l.tokens.tokens >= 1
+		return l.tokens.Tokens >= 1
 	case t != nil && t.Turned >= 2:
 		return spare >= 1
 	}
--- a/internal/channel/plan/move.go
+++ b/internal/channel/plan/move.go
@@ -36,10 +36,10 @@
 	if p.leaving {
 		rate = p.set.Rate // they come back by another proxy, whose servers we do not know
 	}
-	if now-p.moves.at > time.Second {
-		p.moves = bucket{1, now} // nothing moved before: there is nothing to catch up on
+	if now-p.moves.Last > time.Second {
+		p.moves = single(now) // nothing moved before: there is nothing to catch up on
 	}
-	p.moves.fill(now, rate, max(burst*rate, 1))
+	p.moves.Fill(now, rate, max(burst*rate, 1))
 	for _, n := range leaving {
 		left := n.until - now
 		if left <= 0 {
@@ -50,9 +50,9 @@
 		step := now - n.paced
 		n.paced = now
 		n.owed = min(n.owed+float64(n.staying)*step.Seconds()/max(left+step-TickEvery, step).Seconds(), float64(n.staying))
-		for n.owed >= 1-rounding && n.staying > 0 && p.moves.tokens >= 1 {
+		for n.owed >= 1-rounding && n.staying > 0 && p.moves.Tokens >= 1 {
 			n.owed--
-			p.moves.tokens--
+			p.moves.Tokens--
 			actions = p.tell(n.stay.Front(), Go, actions)
 		}
 	}
--- a/internal/channel/plan/plan.go
+++ b/internal/channel/plan/plan.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"brasswell/internal/channel/frame"
+	"brasswell/internal/estimate"
 	"brasswell/internal/linked"
 	"brasswell/internal/recent"
 )
@@ -118,19 +119,12 @@
 	until   time.Duration // by when the channels are to have left it; 0 if they may stay
 	paced   time.Duration // up to when owed is counted
 	owed    float64       // how many of those that stay should have gone by then
-	opens   bucket
+	opens   estimate.Bucket
 }
 
-// bucket is tokens that come back at a rate.
-type bucket struct {
-	tokens float64
-	at     time.Duration
-}
-
-// fill brings the bucket up to now.
-func (b *bucket) fill(now time.Duration, rate, most float64) {
-	b.tokens = min(b.tokens+rate*max(now-b.at, 0).Seconds(), most)
-	b.at = now
+// single is a bucket that holds one token.
+func single(now time.Duration) estimate.Bucket {
+	return estimate.Bucket{Tokens: 1, Last: now, Known: true}
 }
 
 // Plan is the decisions about one proxy's channels.
@@ -143,7 +137,7 @@
 	opening  int         // let in, and neither open nor given up
 	wheel    wheel
 	leaving  bool // the proxy itself ends
-	moves    bucket
+	moves    estimate.Bucket
 	line     line
 	spent    *recent.Set // the tickets that have let in
 
@@ -173,7 +167,7 @@
 		if n == nil {
 			n = &node{}
 			// One upgrade is free: a slow bucket would hold the first one back.
-			n.opens = bucket{1, now}
+			n.opens = single(now)
 			p.nodes[told.ID] = n
 		}
 		n.Node, n.listed = told, true
@@ -243,12 +237,7 @@
 		return false
 	}
 	rate := p.set.NodeRate * p.warmth(now, n)
-	n.opens.fill(now, rate, max(burst*rate, 1))
-	if n.opens.tokens < 1 {
-		return false
-	}
-	n.opens.tokens--
-	return true
+	return n.opens.Take(now, rate, max(burst*rate, 1))
 }
 
 // Opened takes in that an upgrade that was let in has become a channel.
--- a/internal/channel/relay.go
+++ b/internal/channel/relay.go
@@ -21,16 +21,14 @@
 // relay is one open channel. Each direction has a goroutine that reads one end and writes to the other; frames that
 // the proxy puts in itself are written by whoever finds the end's writing between two frames.
 type relay struct {
-	id     plan.ID
-	table  *Table
-	node   string
-	tenant int
-	ends   [plan.Sides]*end
-	ping   [8]byte // the payload by which the proxy's own pings are known
+	id    plan.ID
+	table *Table
+	node  string
+	ends  [plan.Sides]*end
+	ping  [8]byte // the payload by which the proxy's own pings are known
 
 	faulty  atomic.Bool  // an end is at fault, and both have been told
 	pumping atomic.Int32 // directions that are carried
-	over    func()       // called when all is closed
 }
 
 // end is one end of a channel.
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -82,13 +82,18 @@
 	Known  bool // it has been used before
 }
 
-// Take takes a token out if there is one, after filling up at a rate to the most that it holds.
-func (t *Bucket) Take(now time.Duration, perSecond, most float64) bool {
+// Fill fills it up at a rate, to the most that it holds.
+func (t *Bucket) Fill(now time.Duration, perSecond, most float64) {
 	if !t.Known {
 		t.Known, t.Tokens = true, most
 	}
 	t.Tokens = min(t.Tokens+perSecond*(now-t.Last).Seconds(), most)
 	t.Last = now
+}
+
+// Take fills it up and takes a token out if there is one.
+func (t *Bucket) Take(now time.Duration, perSecond, most float64) bool {
+	t.Fill(now, perSecond, most)
 	if t.Tokens < 1 {
 		return false
 	}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -69,19 +69,23 @@
 	Ejected int // of these, the ones that are avoided now, by hand or by choice
 }
 
-// Prefix begins every figure's name.
-const Prefix = "edge_relay."
+// prefix begins every figure's name.
+const prefix = "edge_relay."
 
 // separators have a meaning in the form that the figures are written in.
 var separators = strings.NewReplacer(":", "_", "|", "_", "\n", "_", "\r", "_")
 
-// Append writes all figures to text, one a line: a name, a value, and whether it counts up (c) or moves (g), as statsd
-// has it. Classes are in it from the start.
+// AppendLine writes one figure to text: a name, a value, and whether it counts up (c) or moves (g), as statsd has it.
+func AppendLine(text []byte, name string, value int64, kind byte) []byte {
+	text = append(append(text, prefix...), name...)
+	text = strconv.AppendInt(append(text, ':'), value, 10)
+	return append(text, '|', kind, '\n')
+}
+
+// Append writes all figures to text, one a line. Classes are in it from the start.
 func (b *Book) Append(text []byte, p Pool) []byte {
 	line := func(name string, value int64, kind byte) {
-		text = append(append(text, Prefix...), name...)
-		text = strconv.AppendInt(append(text, ':'), value, 10)
-		text = append(text, '|', kind, '\n')
+		text = AppendLine(text, name, value, kind)
 	}
 	for n, name := range b.names {
 		c := b.Class(n)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -352,7 +352,7 @@
 	switch f.Verdict {
 	case host.Refused:
 		if f.Wait > 0 {
-			header.Set("Retry-After", strconv.FormatFloat(f.Wait.Seconds(), 'f', 3, 64))
+			setRetryAfter(header, f.Wait)
 		}
 		http.Error(w, "refused: trying again is harmless", http.StatusServiceUnavailable)
 		return
@@ -373,6 +373,11 @@
 	w.Write(text)
 }
 
+// setRetryAfter says how long to stay away, in seconds with three decimals.
+func setRetryAfter(header http.Header, wait time.Duration) {
+	header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+}
+
 // answerHeader makes the header of a backend's answer that of the caller's.
 func answerHeader(header http.Header, r *backends.Reply) {
 	copyEndToEnd(header, r.Header)
--- a/internal/front/upgrade.go
+++ b/internal/front/upgrade.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -85,7 +84,7 @@
 // sendAway refuses a request for a channel, and says when and with what to come again.
 func (s *Front) sendAway(w http.ResponseWriter, a ask, to channel.Admission) {
 	h := w.Header()
-	h.Set("Retry-After", strconv.FormatFloat(to.Wait.Seconds(), 'f', 3, 64))
+	setRetryAfter(h, to.Wait)
 	h.Set(ticket.Field, to.Seal)
 	cookie := &http.Cookie{
 		Name: ticket.Cookie, Value: to.Seal, Path: "/", HttpOnly: true, SameSite: http.SameSiteStrictMode,
@@ -133,6 +132,6 @@
 		return err
 	}
 	conn.SetDeadline(time.Time{})
-	s.channels.Open(admission, c.Server, channel.Ends{Client: tcp, Server: c.Conn, Behind: c.Behind}, c.Agreed, func() {})
+	s.channels.Open(admission, c.Server, channel.Ends{Client: tcp, Server: c.Conn, Behind: c.Behind}, c.Agreed)
 	return nil
 }
--- a/internal/proxy/ban_story_test.go
+++ b/internal/proxy/ban_story_test.go
@@ -63,9 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	serving, stop := context.WithCancel(context.Background())
-	served := make(chan error, 1)
-	go func() { served <- p.Serve(serving) }()
+	endProxy := serveProxy(t, p)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	say := func(id, verb string) {
 		resp, err := client.Post("http://"+console+"/v1/backends/"+id+"/"+verb, "", nil)
@@ -125,10 +123,7 @@
 	}
 	end()
 	playing.Wait()
-	stop()
-	if err := <-served; err != nil {
-		t.Error(err)
-	}
+	endProxy()
 	f.Books.Settle()
 	r := f.Books.Report()
 	if !r.Kept() {
--- a/internal/proxy/channel_story_test.go
+++ b/internal/proxy/channel_story_test.go
@@ -59,9 +59,7 @@
 		t.Fatal(err)
 	}
 	fleet.OnMove = p.MoveDiscovery
-	serving, stop := context.WithCancel(context.Background())
-	served := make(chan error, 1)
-	go func() { served <- p.Serve(serving) }()
+	endProxy := serveProxy(t, p)
 	s := &channelStory{t: t, fleet: fleet, address: p.Addr().String()}
 	s.clients = fleet.ChannelClients(s.address)
 	coming, leave := context.WithCancel(context.Background())
@@ -73,10 +71,7 @@
 	s.end = func() audit.Report {
 		leave()
 		<-gone
-		stop()
-		if err := <-served; err != nil {
-			t.Error(err)
-		}
+		endProxy()
 		fleet.Books.Settle()
 		fleet.Close()
 		return fleet.Books.Report()
@@ -138,8 +133,12 @@
 			if tally.Opened < 200 || r.Checks[audit.Drains] < 4 {
 				t.Errorf("the story tests too little: %+v, %v checks", tally, r.Checks)
 			}
-			t.Logf("%d upgrades, %d channels opened, %d refused, %d failed; ended with %v; %d notices, the latest after notice %v",
-				tally.Asked, tally.Opened, tally.Refused, tally.Failed, tally.Closed, r.Checks[audit.Drains], r.Latest)
+			var begun []int
+			for _, b := range s.fleet.Backends {
+				begun = append(begun, len(b.Opened()))
+			}
+			t.Logf("%d upgrades, %d channels opened, %d refused, %d failed; ended with %v; %d notices, the latest after notice %v; begun at each server: %v",
+				tally.Asked, tally.Opened, tally.Refused, tally.Failed, tally.Closed, r.Checks[audit.Drains], r.Latest, begun)
 		})
 	}
 }
--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -20,7 +20,7 @@
 	listed, avoided := d.host.Pool()
 	text = d.figures.Append(text, figures.Pool{Size: listed, Ejected: avoided})
 	if d.channels != nil {
-		text = d.channels.Append(text, figures.Prefix)
+		text = d.channels.Append(text)
 	}
 	return text
 }
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"brasswell/internal/config"
+	"brasswell/internal/proxy"
 	"brasswell/internal/standin"
 	"brasswell/internal/standin/audit"
 )
@@ -40,10 +41,15 @@
 	}
 	f.OnMove = p.MoveDiscovery
 	f.OnHand = func(id string, out bool) error { return p.ByHand(context.Background(), id, out) }
+	return p.Addr().String(), serveProxy(t, p)
+}
+
+// serveProxy serves a proxy, and returns what ends it.
+func serveProxy(t testing.TB, p *proxy.Proxy) (end func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- p.Serve(ctx) }()
-	return p.Addr().String(), func() {
+	return func() {
 		stop()
 		if err := <-served; err != nil {
 			t.Error(err)
