Leave half of the channels' buffers to readers with room, and hand a free one to who waits

Cause, seen: readers that are slow and move could hold all shared buffers, and every other channel waited with them (docs/design/channels.md named it as left). A test with 24 such readers and 8 buffers hangs as found. The first mend hung too, with every buffer free: goroutines in gate.wait told each other of a free buffer for ever, since a channel hands what is put in to who waits there first and never to one that looks (buffers.go, wait; relay.go, read). Excluded by printing each wait over 300 ms: the look for room, the write, the reader.

--- a/bench/upgrade_test.go
+++ b/bench/upgrade_test.go
@@ -121,6 +121,9 @@
 	transport := &http.Transport{DisableKeepAlives: true}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		if sending == 0 { // it was over before the call was sent
+			sending = time.Since(begun)
+		}
 		return 0, sending
 	}
 	resp.Body.Close()
--- a/internal/channel/buffers.go
+++ b/internal/channel/buffers.go
@@ -7,8 +7,16 @@
 
 type buffer [bufferBytes]byte
 
+// roomyBytes is the most that is read at one go for an end that has been seen to have room for it.
+const roomyBytes = 8 << 10
+
 // gate bounds the buffers in use. A relay holds one in each direction from when something has come until it has gone
-// on, so a channel that is quiet holds none, and one whose reader is slow holds one.
+// on, so a channel that is quiet holds none. While more than half are in use, one is had only by who has seen that the
+// end to which the bytes go has room for them, and gives it back at once.
+//
+// It guards against readers that are slow, and move, and would hold all buffers while other channels wait: they hold
+// half of them at most, by what was read before there was a shortage. It costs who carries much to fast readers two
+// system calls more for each 8 KiB meanwhile.
 type gate struct {
 	free  chan struct{}
 	spare sync.Pool
@@ -24,8 +32,11 @@
 	return g
 }
 
-// try returns a buffer, or nil if all are in use.
-func (g *gate) try() *buffer {
+// try returns a buffer, or nil if there is none for one that has seen room, or has not.
+func (g *gate) try(room bool) *buffer {
+	if !room && len(g.free) <= cap(g.free)/2 {
+		return nil
+	}
 	select {
 	case <-g.free:
 		return g.spare.Get().(*buffer)
@@ -39,8 +50,9 @@
 	g.free <- struct{}{}
 }
 
-// wait returns once a buffer has come free, which another may take first.
-func (g *gate) wait() {
+// wait returns a buffer once one has come free, first come, first served. One that was only told of a free buffer would
+// look for it in vain: those that wait are served before those that look.
+func (g *gate) wait() *buffer {
 	<-g.free
-	g.free <- struct{}{}
+	return g.spare.Get().(*buffer)
 }
--- a/internal/channel/relay.go
+++ b/internal/channel/relay.go
@@ -13,6 +13,8 @@
 	"time"
 	"unsafe"
 
+	"golang.org/x/sys/unix"
+
 	"brasswell/internal/channel/frame"
 	"brasswell/internal/channel/handshake"
 	"brasswell/internal/channel/plan"
@@ -65,12 +67,14 @@
 	gone    bool      // its socket is closed
 	told    bool      // that Close was the proxy's own word to go
 	toRest  bool      // its read is broken off so that it can rest
+	looking bool      // a look for room runs without mu, and writing is set; a frame that is put in breaks it off
 	wanted  *goodbye  // to be told once the message at hand is over
 
 	// What a read returns; kept here so that no read allocates.
 	peeked  byte
 	reading struct {
 		f    func(fd uintptr) bool
+		room bool // the other end has room for what is read
 		b    *buffer
 		n    int
 		err  error
@@ -120,12 +124,19 @@
 // tryRead takes a buffer only once there is something to read, or before the first look.
 func (e *end) tryRead(fd uintptr) bool {
 	r := &e.reading
-	if r.b = e.get.try(); r.b == nil {
+	if r.b == nil {
+		r.b = e.get.try(r.room)
+	}
+	if r.b == nil {
 		r.full = true
 		return true
 	}
+	into := r.b[frame.MaxHeld:]
+	if r.room {
+		into = into[:roomyBytes]
+	}
 	for {
-		if r.n, r.err = syscall.Read(int(fd), r.b[frame.MaxHeld:]); r.err != syscall.EINTR {
+		if r.n, r.err = syscall.Read(int(fd), into); r.err != syscall.EINTR {
 			break
 		}
 	}
@@ -138,18 +149,27 @@
 }
 
 // read returns a buffer with what the end sent, behind room for what was held. It holds no buffer while it waits:
-// a quiet channel costs its goroutines and its sockets.
-func (e *end) read() (*buffer, int, error) {
+// a quiet channel costs its goroutines and its sockets. room is called where buffers are short, and waits until the
+// bytes can go on at once; nil where they need not.
+func (e *end) read(room func()) (*buffer, int, error) {
 	r := &e.reading
+	r.room, r.b = room == nil, nil
 	for {
-		r.b, r.full = nil, false
+		r.full = false
 		err := e.raw.Read(r.f)
 		switch {
 		case err != nil:
+			if r.b != nil {
+				e.get.put(r.b)
+			}
 			return nil, 0, err
+		case r.full && !r.room:
+			room()
+			r.room = true
+			continue
 		case r.full:
 			// Something has come, and all buffers are in use. This end waits, and with it who sends there.
-			e.get.wait()
+			e.waitsFor(func() { r.b = e.get.wait() })
 			continue
 		case r.err == nil && r.n > 0:
 			return r.b, r.n, nil
@@ -221,8 +241,16 @@
 			return err
 		}
 	}
+	var stalled error
+	room := func() {
+		from.waitsFor(func() { stalled = to.room() })
+	}
 	for {
-		b, n, err := from.read()
+		b, n, err := from.read(room)
+		if stalled != nil {
+			r.finish(to, 0, "", goneCode(to.side), "the other end takes nothing")
+			stalled = nil
+		}
 		if err != nil {
 			switch rest, goOn := from.afterBreak(err); {
 			case rest:
@@ -289,15 +317,22 @@
 	}
 }
 
+// waitsFor calls f, in which the end's bytes wait for the other end. That is the other end's time, not its own.
+func (e *end) waitsFor(f func()) {
+	begun := e.now()
+	e.blocked.Store(true)
+	f()
+	e.blocked.Store(false)
+	if since := e.since.Load(); since > 0 {
+		e.since.Store(since + int64(e.now()-begun))
+	}
+}
+
 // pass writes sound bytes of one end to the other.
 func (r *relay) pass(from, to *end, b []byte) error {
-	begun := r.table.now()
-	from.blocked.Store(true)
-	taken, err := to.write(b, !from.checker.Between(), from.checker.Open())
-	from.blocked.Store(false)
-	if since := from.since.Load(); since > 0 {
-		from.since.Store(since + int64(r.table.now()-begun)) // the other end's time, not its own
-	}
+	var taken bool
+	var err error
+	from.waitsFor(func() { taken, err = to.write(b, !from.checker.Between(), from.checker.Open()) })
 	if err != nil {
 		// It is the other end that is gone: this one is told, and read on until it answers.
 		r.finish(to, 0, "", goneCode(to.side), "the other end takes nothing")
@@ -404,6 +439,55 @@
 	}
 }
 
+// room waits until the end takes some bytes at once, or takes none any more, and holds no buffer meanwhile. One that is
+// slow and moves is waited for, as in push.
+func (e *end) room() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	step := e.patience / pushSteps
+	queued := 0 // bytes that the end had not taken at the last look
+	for stalled := 0; !e.closing && !e.gone; {
+		before := queued
+		e.writing, e.looking = true, true
+		begun := time.Now()
+		e.until = begun.Add(step)
+		e.conn.SetWriteDeadline(e.until)
+		e.mu.Unlock()
+		err := e.raw.Write(func(fd uintptr) bool {
+			queued, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+			fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLOUT}}
+			n, _ := unix.Poll(fds, 0)
+			return n > 0
+		})
+		e.mu.Lock()
+		brokenOff := !e.looking
+		e.writing, e.looking = false, false
+		if !e.within {
+			if err := e.flush(); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == nil:
+			if stalled > 0 || time.Since(begun) >= waited {
+				e.lives()
+			}
+			return nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return err
+		case brokenOff:
+		case queued < before:
+			e.lives()
+			stalled = 1
+		default:
+			if stalled++; stalled > pushSteps {
+				return errStalled
+			}
+		}
+	}
+	return nil
+}
+
 // lives notes that the end has taken what it had left standing.
 func (e *end) lives() { e.heard.Store(int64(e.now())) }
 
@@ -445,6 +529,11 @@
 		return
 	}
 	e.pending = append(e.pending, b...)
+	if e.looking && !e.within {
+		e.looking = false
+		e.until = time.Unix(1, 0)
+		e.conn.SetWriteDeadline(e.until)
+	}
 	if e.writing || e.within {
 		return
 	}
@@ -567,7 +656,7 @@
 // reset, and take the Close with it.
 func (r *relay) drain(from *end) {
 	for from.dropped <= mostDropped {
-		b, n, err := from.read()
+		b, n, err := from.read(nil)
 		if err != nil {
 			return
 		}
--- a/internal/proxy/channel_test.go
+++ b/internal/proxy/channel_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -735,6 +736,73 @@
 	}
 }
 
+// TestSlowReadersDoNotHoldAllBuffers has more readers stand still than there are buffers, each with more waiting for it
+// than the kernel holds. Other channels go on as ever, and nothing of what waits is lost.
+func TestSlowReadersDoNotHoldAllBuffers(t *testing.T) {
+	const buffers, slow, messages, size = 8, 24, 50, 20_000
+	n := newWSNode(t, nil)
+	g := newRig(t, withChannels(func(c *Config) {
+		o := &c.Options.Channels
+		o.Memory = buffers * 32 << 10
+		o.WriteTimeout, o.PingEvery = patient, time.Hour
+	}), entry("a", n.address, "up"))
+	quick, server := g.pair(n, "quick")
+	var readers []*wsConn
+	var senders sync.WaitGroup
+	var standing atomic.Int64
+	defer senders.Wait()
+	for i := range slow {
+		reader, sender := g.pair(n, fmt.Sprint("slow", i))
+		reader.Conn.(*net.TCPConn).SetReadBuffer(32 << 10)
+		sender.Conn.(*net.TCPConn).SetWriteBuffer(32 << 10)
+		readers = append(readers, reader)
+		senders.Go(func() {
+			one := sender.bytes(0x82, strings.Repeat("x", size))
+			for k := range messages {
+				if k == messages/2 {
+					standing.Add(1)
+				}
+				sender.Write(one)
+			}
+			sender.send(0x88, closing(1000))
+		})
+	}
+	trip := func(i int) {
+		text := fmt.Sprint("trip ", i)
+		quick.send(0x81, text)
+		server.wants(0x81, text)
+		server.send(0x81, text)
+		quick.wants(0x81, text)
+	}
+	for i := range 300 { // while the others come to a stand, and stand
+		trip(i)
+		time.Sleep(time.Millisecond)
+	}
+	if standing.Load() == slow {
+		t.Fatal("what waits for the readers stands in the kernel; send more")
+	}
+	var done sync.WaitGroup
+	for _, r := range readers {
+		done.Go(func() {
+			got := 0
+			for {
+				f, p := r.frame()
+				if f != 0x82 {
+					if f != 0x88 || got != messages*size {
+						t.Errorf("%d of %d bytes, then %#x", got, messages*size, f)
+					}
+					return
+				}
+				got += len(p)
+			}
+		})
+	}
+	for i := range 100 { // while all of it moves
+		trip(i)
+	}
+	done.Wait()
+}
+
 func TestGiBAnnounced(t *testing.T) {
 	n := newWSNode(t, nil)
 	g := newRig(t, withChannels(nil), entry("a", n.address, "up"))
