--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -536,6 +536,7 @@
 
 // TestRandomDays feeds legal random events and holds the instance to the four rules.
 func TestRandomDays(t *testing.T) {
+	longDay(t)
 	t.Parallel()
 	for seed := range uint64(30) {
 		if a, b := randomDay(t, seed), randomDay(t, seed); !slices.Equal(a, b) {
--- a/balance/bed_test.go
+++ b/balance/bed_test.go
@@ -224,6 +224,7 @@
 // TestFleetLosesARoom: one of two rooms goes silent at 4 s, at 0.4 of what all can do, and returns cold at 9 s. What is
 // sent to lost servers from a second after the loss on is bounded, the rest is served, and nobody is pushed over.
 func TestFleetLosesARoom(t *testing.T) {
+	longDay(t)
 	t.Parallel()
 	for _, size := range bedSizes {
 		for seed := range size.seeds {
@@ -261,6 +262,7 @@
 
 // TestFleetReplacesSixInTen: six in ten servers leave within 3 s, and new ones under other ids start 2 s after.
 func TestFleetReplacesSixInTen(t *testing.T) {
+	longDay(t)
 	t.Parallel()
 	for _, size := range bedSizes {
 		for seed := range size.seeds {
--- /dev/null
+++ b/balance/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package balance
+
+const raced = false
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"brasswell/internal/framing"
+	"brasswell/internal/idle"
 	"brasswell/internal/linked"
 )
 
@@ -35,16 +36,20 @@
 	// waiting holds the connections on which no request is open by what is known of them, in the order in which they
 	// became so.
 	waiting [kinds]linked.List[Conn, *Conn]
+
+	parking *Parking // nil where none is parked; set before the first connection
 }
 
 // kind is what a connection on which no request is open is known for.
 type kind int
 
 const (
-	silent  kind = iota // has said nothing yet
-	once                // idles after a single request
-	idle                // idles after several
-	partial             // has begun a head, and not ended it
+	silent     kind = iota // has said nothing yet
+	once                   // idles after a single request
+	idling                 // idles after several
+	partial                // has begun a head, and not ended it
+	parkedOnce             // like once, and is parked or about to be
+	parkedIdle             // like idling
 	kinds
 	busy kind = -1 // has a request open
 )
@@ -69,7 +74,10 @@
 	kind     kind
 	since    time.Time // when it became so; of a partial head, when its last bytes came
 	ended    bool
-	requests int // begun so far
+	requests int       // begun so far
+	breaking bool      // its read is broken off, so that it can be parked
+	lot      *idle.Lot // where it is parked, or nil
+	key      int32     // by which it is known there
 
 	linked.Links[Conn] // in the list of its kind
 }
@@ -97,8 +105,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for k := c.waiting[once].Front(); k != nil && now.Sub(k.since) >= c.onceIdle; k = c.waiting[once].Front() {
-		c.end(k)
+	for _, kind := range []kind{parkedOnce, once} {
+		for k := c.waiting[kind].Front(); k != nil && now.Sub(k.since) >= c.onceIdle; k = c.waiting[kind].Front() {
+			c.end(k)
+		}
 	}
 	if len(c.open) >= c.soft && !c.makeRoom(now) && len(c.open) >= c.hard {
 		return nil
@@ -116,7 +126,7 @@
 	for _, q := range []struct {
 		kind  kind
 		grace time.Duration
-	}{{silent, silentGrace}, {once, 0}, {idle, 0}, {partial, headGrace}} {
+	}{{silent, silentGrace}, {parkedOnce, 0}, {once, 0}, {parkedIdle, 0}, {idling, 0}, {partial, headGrace}} {
 		if k := c.waiting[q.kind].Front(); k != nil && now.Sub(k.since) >= q.grace {
 			c.end(k)
 			return true
@@ -141,6 +151,10 @@
 func (c *Set) end(k *Conn) {
 	k.ended = true
 	c.forget(k)
+	if k.lot != nil {
+		k.lot.Drop(k.key)
+		return
+	}
 	k.Conn.Close()
 }
 
@@ -182,7 +196,7 @@
 	case k.requests <= 1:
 		c.become(k, once, now)
 	default:
-		c.become(k, idle, now)
+		c.become(k, idling, now)
 	}
 }
 
@@ -219,6 +233,10 @@
 	if !ended && k.kind != busy {
 		k.set.become(k, partial, time.Now())
 	}
+	if k.breaking { // too late: something has come
+		k.breaking = false
+		k.Conn.SetReadDeadline(time.Now().Add(k.set.parking.pace.Timeout))
+	}
 	k.set.mu.Unlock()
 	if ended {
 		return 0, net.ErrClosed
@@ -227,6 +245,14 @@
 	return n, err
 }
 
+// Close parks a connection whose read was broken off for that, and closes any other.
+func (k *Conn) Close() error {
+	if p := k.set.parking; p != nil && p.take(k) {
+		return nil
+	}
+	return k.Conn.Close()
+}
+
 // CloseWrite lets net/http end its sending first where it leaves unread what a caller sent: a close alone would
 // become a reset, and take the answer with it.
 func (k *Conn) CloseWrite() error {
@@ -328,7 +354,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	counts := map[string]int{"silent": 0, "once": 0, "idle": 0, "partial": 0, "busy": 0}
-	names := [kinds]string{silent: "silent", once: "once", idle: "idle", partial: "partial"}
+	names := [kinds]string{silent: "silent", once: "once", idling: "idle", partial: "partial", parkedOnce: "once", parkedIdle: "idle"}
 	for k := range c.open {
 		if k.kind == busy {
 			counts["busy"]++
--- a/internal/front/options.go
+++ b/internal/front/options.go
@@ -15,6 +15,7 @@
 	BodyGrace    time.Duration
 	IdleTimeout  time.Duration // how long a connection may idle between requests
 	OnceIdle     time.Duration // the same for one that has carried a single request, once others come
+	ParkAfter    time.Duration // how long it idles before it is parked; 0 for never
 	WriteTimeout time.Duration // how long a caller may leave its answer untaken
 	// How long a caller may take nothing of an answer that streams, and how slowly it may take it: those are long,
 	// and nobody else can give the rest.
@@ -52,6 +53,8 @@
 				"How long a connection may idle between requests."),
 			operator.Duration("once_idle", &o.OnceIdle, 100*time.Millisecond, time.Hour,
 				"How long a connection that has carried a single request may idle once others come.").OnReload(),
+			operator.Duration("park_after", &o.ParkAfter, 0, time.Hour,
+				"How long a connection idles before it is held without buffers and goroutines, for a dearer next request. 0 holds none so."),
 			operator.Duration("write_timeout", &o.WriteTimeout, 50*time.Millisecond, time.Minute,
 				"How long a caller may leave its answer untaken.").OnReload(),
 			operator.Duration("stream_timeout", &o.StreamTimeout, 100*time.Millisecond, time.Hour,
@@ -61,6 +64,14 @@
 			operator.Size("max_head", &o.MaxHead, 1<<10, 1<<20, "The longest head of a request."),
 		},
 		Check: func() []operator.Problem {
+			if o.ParkAfter >= o.IdleTimeout {
+				return []operator.Problem{{Key: "park_after", Text: "not below idle_timeout (" + o.IdleTimeout.String() +
+					"), so it would never count; lower it or raise idle_timeout"}}
+			}
+			if o.ParkAfter > 0 && o.ParkAfter < leastParkAfter {
+				return []operator.Problem{{Key: "park_after", Text: "below " + leastParkAfter.String() +
+					", so that callers who are about to ask again would be parked; raise it, or set 0 to park none"}}
+			}
 			if o.OnceIdle > o.IdleTimeout {
 				return []operator.Problem{{Key: "once_idle", Text: "longer than idle_timeout (" + o.IdleTimeout.String() +
 					"), so it would never count; lower it or raise idle_timeout"}}
@@ -70,6 +81,9 @@
 	}
 }
 
+// leastParkAfter is far longer than callers pause who use their connection.
+const leastParkAfter = 100 * time.Millisecond
+
 // streamGrace is what a slow caller may take beyond what StreamRate allows.
 const streamGrace = 10 * time.Second
 
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -43,6 +43,7 @@
 
 // TestSilentWatchIsFollowedByAnother: discovery takes the watch and never says a word.
 func TestSilentWatchIsFollowedByAnother(t *testing.T) {
+	t.Parallel()
 	g := newRig(t, nil)
 	await(t, "the first watch", g.registry.calls)
 	await(t, "another watch", g.registry.calls)
--- /dev/null
+++ b/internal/proxy/parking_test.go
@@ -0,0 +1,168 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// withParking has connections parked that idle for a tenth of a second.
+func withParking(change func(*Config)) func(*Config) {
+	return func(c *Config) {
+		c.Options.Callers.ParkAfter = 100 * time.Millisecond
+		c.Options.Callers.IdleTimeout = time.Minute
+		if change != nil {
+			change(c)
+		}
+	}
+}
+
+// parked waits until so many connections are parked.
+func (g *rig) parked(n int) {
+	g.t.Helper()
+	for end := time.Now().Add(patient); g.parking.Len() != n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("%d connections are parked, want %d", g.parking.Len(), n)
+		}
+	}
+}
+
+// asks sends a request and wants it served.
+func (c *testCaller) asks(id string) {
+	c.t.Helper()
+	c.send("GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: " + id + "\r\nX-Lane: search\r\nX-Remaining-Ms: 9000\r\n\r\n")
+	c.served(id)
+}
+
+func (c *testCaller) served(id string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: "GET"})
+	if err != nil {
+		c.t.Errorf("%s: %v", id, err)
+		return
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		c.t.Errorf("%s: %s", id, resp.Status)
+	}
+}
+
+// TestParkedConnectionsServeOn parks connections again and again: requests whole, in pieces and one behind the other
+// come on parked ones, and each is served once; those that callers close are let go.
+func TestParkedConnectionsServeOn(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "127.0.0.1:0", whole)
+	g := newRig(t, withParking(nil), entry("a", b.address, "up"))
+	const callers = 40
+	came := make(chan map[string]int)
+	go func() { // every id that comes to the backend, until one that nobody sends
+		ids := map[string]int{}
+		for id := range b.requests {
+			if id == "" {
+				break
+			}
+			ids[id]++
+		}
+		came <- ids
+	}()
+	var all []*testCaller
+	for i := range callers {
+		c := g.dial()
+		c.asks(fmt.Sprint("first", i))
+		all = append(all, c)
+	}
+	g.parked(callers)
+	if n := g.callers.Len(); n != callers {
+		t.Errorf("%d connections are counted, %d are open", n, callers)
+	}
+	var asking sync.WaitGroup
+	for round := range 3 {
+		for i, c := range all {
+			asking.Go(func() {
+				id := fmt.Sprint(round, "-", i)
+				switch i % 3 {
+				case 0:
+					c.asks(id)
+				case 1: // the first byte alone
+					text := "GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: " + id + "\r\nX-Lane: search\r\nX-Remaining-Ms: 9000\r\n\r\n"
+					c.send(text[:1])
+					time.Sleep(20 * time.Millisecond)
+					c.send(text[1:])
+					c.served(id)
+				case 2:
+					text := "GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Lane: search\r\nX-Remaining-Ms: 9000\r\n\r\n"
+					c.send(fmt.Sprintf(text+text, id+"a", id+"b"))
+					c.served(id + "a")
+					c.served(id + "b")
+				}
+			})
+		}
+		asking.Wait()
+		g.parked(callers)
+	}
+	b.requests <- ""
+	ids := <-came
+	for id, n := range ids {
+		if n != 1 {
+			t.Errorf("%s came to the backend %d times", id, n)
+		}
+	}
+	if want := callers + 3*callers + 3*(callers/3); len(ids) != want {
+		t.Errorf("%d requests came to the backend, want %d", len(ids), want)
+	}
+	if s := g.callers.States(); s["idle"] != callers {
+		t.Errorf("%v; all %d have asked several times and idle", s, callers)
+	}
+	for _, c := range all {
+		c.Close()
+	}
+	g.parked(0)
+	for end := time.Now().Add(patient); g.callers.Len() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are counted, and none is open", g.callers.Len())
+		}
+	}
+}
+
+// TestParkedConnectionsMakeRoom: newcomers take the places of parked connections, those that have asked once first, and
+// all that are parked end with their time, in steps.
+func TestParkedConnectionsMakeRoom(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "127.0.0.1:0", whole)
+	g := newRig(t, withParking(func(c *Config) { c.Options.Callers.IdleTimeout = 1500 * time.Millisecond }), entry("a", b.address, "up"))
+	several, single := g.dial(), g.dial()
+	several.asks("s1")
+	several.asks("s2")
+	single.asks("o1")
+	g.parked(2)
+	g.callers.SetLimits(2, 3)
+	g.dial().asks("n1")
+	if _, err := single.r.ReadByte(); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("the one that has asked once is kept: %v", err)
+	}
+	several.asks("s3")
+	if _, err := several.r.ReadByte(); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("a parked connection does not end with its time: %v", err)
+	}
+	g.parked(0)
+}
+
+// TestRestartWithParkedConnections: a planned restart closes what is parked, and ends.
+func TestRestartWithParkedConnections(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "127.0.0.1:0", whole)
+	g := newRig(t, withParking(nil), entry("a", b.address, "up"))
+	c := g.dial()
+	c.asks("1")
+	g.parked(1)
+	if others := g.callers.CloseQuiet(0); others != 0 {
+		t.Errorf("%d connections are left", others)
+	}
+	g.parked(0)
+	if _, err := c.r.ReadByte(); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("the parked connection is open: %v", err)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,6 +27,7 @@
 	"brasswell/internal/figures"
 	"brasswell/internal/front"
 	"brasswell/internal/host"
+	"brasswell/internal/idle"
 	"brasswell/internal/restart"
 	"brasswell/internal/settings"
 )
@@ -92,6 +93,7 @@
 type Proxy struct {
 	listener  *callers.Listener
 	callers   *callers.Set
+	parking   *callers.Parking // nil without park_after
 	restart   *restart.Restart
 	front     *front.Front
 	host      *host.Instance
@@ -184,6 +186,14 @@
 		ConnContext:       callers.WithConn,
 		ErrorLog:          slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug),
 	}
+	if after := c.Options.Callers.ParkAfter; after > 0 {
+		pace := idle.Pace{After: after, Timeout: c.Options.Callers.IdleTimeout}
+		if p.parking, err = p.callers.Park(pace, l.Addr()); err != nil {
+			p.Close()
+			return nil, err
+		}
+		p.watches.Go(func() { p.park(p.watching) })
+	}
 	if c.Inherited != nil && c.MeetIn != "" {
 		p.upgrade = newUpgrade(p, c.MeetIn, c.Name)
 	}
@@ -205,6 +215,16 @@
 	return p, nil
 }
 
+// park serves connections that were parked and parks others until ctx is done.
+func (p *Proxy) park(ctx context.Context) {
+	var served sync.WaitGroup
+	defer served.Wait()
+	served.Go(func() { p.http.Serve(p.parking) }) // ends with the Parking, or the server
+	if err := p.parking.Run(ctx); err != nil {
+		p.log.Error("callers: park_after does not hold any more", "error", err)
+	}
+}
+
 // watch starts a watch on the server list, which ends with the first call that fails.
 func (p *Proxy) watch() {
 	p.watches.Go(func() { p.discovery.Watch(p.watching) })
