Close callers' connections in bounded batches, and count their states as they change

Cause: CloseQuiet and States walked every connection with the set's lock held, and a newcomer closed all that had idled too long at once: with 100,000 idle ones, a restart or one accept would stop everybody for their closes. Read, not measured.

Change: 256 closes at most under the lock at a time, from the lists that are in order anyway; states are counted as they change.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -36,6 +36,7 @@
 	// waiting holds the connections on which no request is open by what is known of them, in the order in which they
 	// became so.
 	waiting [kinds]linked.List[Conn, *Conn]
+	many    [kinds]int // how many are in each
 
 	parking *Parking // nil where none is parked; set before the first connection
 }
@@ -105,11 +106,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for _, kind := range []kind{parkedOnce, once} {
-		for k := c.waiting[kind].Front(); k != nil && now.Sub(k.since) >= c.onceIdle; k = c.waiting[kind].Front() {
-			c.end(k)
-		}
-	}
+	c.endFirst([]kind{parkedOnce, once}, mostAtOnce, func(k *Conn) bool { return now.Sub(k.since) >= c.onceIdle })
 	if len(c.open) >= c.soft && !c.makeRoom(now) && len(c.open) >= c.hard {
 		return nil
 	}
@@ -139,10 +136,12 @@
 func (c *Set) become(k *Conn, to kind, now time.Time) {
 	if k.kind != busy {
 		c.waiting[k.kind].Remove(k)
+		c.many[k.kind]--
 	}
 	k.kind, k.since = to, now
 	if to != busy {
 		c.waiting[to].Push(k)
+		c.many[to]++
 	}
 }
 
@@ -209,16 +208,30 @@
 
 // CloseQuiet closes the connections on which no request has begun for so long, and counts the others.
 func (c *Set) CloseQuiet(quiet time.Duration) (others int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for k := range c.open {
-		if k.kind != busy && k.kind != partial && time.Since(k.since) >= quiet {
+	now := time.Now()
+	for {
+		c.mu.Lock()
+		ended := c.endFirst([]kind{silent, once, idling, parkedOnce, parkedIdle}, mostAtOnce, func(k *Conn) bool { return now.Sub(k.since) >= quiet })
+		others = len(c.open)
+		c.mu.Unlock()
+		if ended < mostAtOnce {
+			return others
+		}
+	}
+}
+
+// mostAtOnce bounds the connections that are closed with the lock held, for which all others wait.
+const mostAtOnce = 256
+
+// endFirst ends so many connections of these kinds at most, the longest so first, while they are due; c.mu must be held.
+func (c *Set) endFirst(kinds []kind, most int, due func(*Conn) bool) (ended int) {
+	for _, kind := range kinds {
+		for k := c.waiting[kind].Front(); k != nil && ended < most && due(k); k = c.waiting[kind].Front() {
 			c.end(k)
-		} else {
-			others++
+			ended++
 		}
 	}
-	return others
+	return ended
 }
 
 // Read notes the first byte that is read, not only the whole head that net/http tells of: a request that has been read
@@ -353,14 +366,12 @@
 func (c *Set) States() map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counts := map[string]int{"silent": 0, "once": 0, "idle": 0, "partial": 0, "busy": 0}
-	names := [kinds]string{silent: "silent", once: "once", idling: "idle", partial: "partial", parkedOnce: "once", parkedIdle: "idle"}
-	for k := range c.open {
-		if k.kind == busy {
-			counts["busy"]++
-		} else {
-			counts[names[k.kind]]++
-		}
+	counts := map[string]int{
+		"silent": c.many[silent], "once": c.many[once] + c.many[parkedOnce], "idle": c.many[idling] + c.many[parkedIdle],
+		"partial": c.many[partial], "busy": len(c.open),
+	}
+	for _, n := range c.many {
+		counts["busy"] -= n
 	}
 	return counts
 }
--- a/internal/callers/park.go
+++ b/internal/callers/park.go
@@ -69,12 +69,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	batch := p.pace.Batch(len(c.open))
-	for _, kind := range []kind{parkedOnce, parkedIdle} {
-		for k := c.waiting[kind].Front(); k != nil && batch > 0 && p.pace.Close(k.since, now); k = c.waiting[kind].Front() {
-			c.end(k)
-			batch--
-		}
-	}
+	batch -= c.endFirst([]kind{parkedOnce, parkedIdle}, batch, func(k *Conn) bool { return p.pace.Close(k.since, now) })
 	for _, kind := range []kind{once, idling} {
 		for k := c.waiting[kind].Front(); k != nil && batch > 0 && p.pace.Hold(k.since, now); k = c.waiting[kind].Front() {
 			// net/http ends what it reads no more from; Close parks it.
--- a/internal/proxy/parking_test.go
+++ b/internal/proxy/parking_test.go
@@ -166,3 +166,81 @@
 		t.Errorf("the parked connection is open: %v", err)
 	}
 }
+
+// TestRequestsThatMeetTheirConnectionsEnd has many parked connections end within the same moment, while requests come on
+// them and a busy caller asks on. Each request is either served, or its connection is closed and nothing of it has
+// reached a backend, so that it may be sent again.
+func TestRequestsThatMeetTheirConnectionsEnd(t *testing.T) {
+	t.Parallel()
+	const callers, idleTime = 200, time.Second
+	b := newBackend(t, "127.0.0.1:0", whole)
+	came := make(chan map[string]int)
+	go func() {
+		ids := map[string]int{}
+		for id := range b.requests {
+			if id == "" {
+				break
+			}
+			ids[id]++
+		}
+		came <- ids
+	}()
+	g := newRig(t, withParking(func(c *Config) { c.Options.Callers.IdleTimeout = idleTime }), entry("a", b.address, "up"))
+	var all []*testCaller
+	var since []time.Time
+	for i := range callers {
+		c := g.dial()
+		c.asks(fmt.Sprint("first", i))
+		all, since = append(all, c), append(since, time.Now())
+	}
+	stop := make(chan struct{})
+	var busy, asking sync.WaitGroup
+	busy.Go(func() {
+		c := g.dial()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+				c.asks(fmt.Sprint("busy", n))
+			}
+		}
+	})
+	var mu sync.Mutex
+	served, closed := map[string]bool{}, map[string]bool{}
+	for i, c := range all {
+		asking.Go(func() {
+			id := fmt.Sprint("late", i)
+			time.Sleep(time.Until(since[i].Add(idleTime + time.Duration(i%60-30)*time.Millisecond)))
+			c.send("GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: " + id + "\r\nX-Lane: search\r\nX-Remaining-Ms: 9000\r\n\r\n")
+			resp, err := http.ReadResponse(c.r, &http.Request{Method: "GET"})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				closed[id] = true
+				return
+			}
+			resp.Body.Close()
+			served[id] = resp.StatusCode == http.StatusOK
+		})
+	}
+	asking.Wait()
+	close(stop)
+	busy.Wait()
+	b.requests <- ""
+	ids := <-came
+	for id := range closed {
+		if ids[id] != 0 {
+			t.Errorf("%s reached a backend, and its connection was closed for idleness", id)
+		}
+	}
+	for id, ok := range served {
+		if !ok || ids[id] != 1 {
+			t.Errorf("%s: served %v, came to the backend %d times", id, ok, ids[id])
+		}
+	}
+	t.Logf("%d served, %d closed", len(served), len(closed))
+	if len(served)+len(closed) != callers {
+		t.Errorf("%d of %d requests ended", len(served)+len(closed), callers)
+	}
+}
