Measure a further request and 100 busy connections beside idle ones

CostOfIdle asks once more on up to 1,000 idle connections, one after the other, and has 100 busy connections ask on beside them, with p50, p99, p99.9 and processor time each.

--- a/bench/idle_test.go
+++ b/bench/idle_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +19,8 @@
 
 var idleConns = flag.String("idle-conns", "", "how many idle connections TestCostOfIdleConnections holds, one figure after the other; none, and it is skipped")
 
+var busySeconds = flag.Float64("busy-seconds", 3, "how long its busy connections ask beside them")
+
 // runIdle holds callers' connections in one of the ways that are weighed for those that do nothing: by the proxy as it
 // is, by net/http, each by a goroutine that waits with no buffer, or by an epoll set with no goroutine. The last two answer nothing.
 func runIdle(way string) error {
@@ -175,10 +178,83 @@
 				rest := p.usage(t)
 				time.Sleep(time.Second)
 				rested := p.usage(t)
-				more := float64(n - n/10)
+				more := float64(max(n-n/10, 1))
 				t.Logf("%-14s %6d idle: %5.1f KiB each (%.0f MiB in all), %5.1f us of CPU to take one in, %.2f%% of a core at rest",
 					way, n, (after-memory)*1024/more, after, (taken.CPU-used.CPU)*1e6/more, 100*(rested.CPU-rest.CPU))
+				if !strings.HasPrefix(way, "idle-parked") && way != "idle-epoll" { // those answer one request
+					again := askAgain(t, open[:min(len(open), 1000)])
+					asked := p.usage(t)
+					t.Logf("%-14s %6d idle: a further request on one, one after the other: %s, %.1f us of CPU", way, n, quantiles(again), (asked.CPU-rested.CPU)*1e6/float64(max(len(again), 1)))
+					busy := askBusily(t, p.first, 100, *busySeconds)
+					t.Logf("%-14s %6d idle: 100 busy connections: %.0f requests a second, %s, %.1f us of CPU each", way, n,
+						float64(len(busy)) / *busySeconds, quantiles(busy), (p.usage(t).CPU-asked.CPU)*1e6/float64(max(len(busy), 1)))
+				}
 			})
 		}
 	}
 }
+
+// request asks on a connection, and returns how long the answer took.
+func request(c net.Conn, id string, buf []byte) (time.Duration, error) {
+	begun := time.Now()
+	fmt.Fprintf(c, "GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Lane: search\r\nX-Remaining-Ms: 2000\r\n\r\n", id)
+	m, err := c.Read(buf)
+	if err == nil && !strings.HasPrefix(string(buf[:m]), "HTTP/1.1 200") {
+		err = fmt.Errorf("answered %.60q", buf[:m])
+	}
+	return time.Since(begun), err
+}
+
+func askAgain(t *testing.T, open []net.Conn) (took []time.Duration) {
+	buf := make([]byte, 4<<10)
+	for i, c := range open {
+		d, err := request(c, fmt.Sprint("again", i), buf)
+		if err != nil {
+			t.Error(err)
+			return append(took, d)
+		}
+		took = append(took, d)
+	}
+	return took
+}
+
+// askBusily asks on so many connections, on each as soon as it has its answer.
+func askBusily(t *testing.T, address string, conns int, seconds float64) (took []time.Duration) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	end := time.Now().Add(time.Duration(seconds * float64(time.Second)))
+	for k := range conns {
+		all.Go(func() {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			var own []time.Duration
+			buf := make([]byte, 4<<10)
+			for i := 0; time.Now().Before(end); i++ {
+				d, err := request(c, fmt.Sprint("busy", k, "-", i), buf)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				own = append(own, d)
+			}
+			mu.Lock()
+			took = append(took, own...)
+			mu.Unlock()
+		})
+	}
+	all.Wait()
+	return took
+}
+
+func quantiles(took []time.Duration) string {
+	if len(took) == 0 {
+		return "none"
+	}
+	slices.Sort(took)
+	at := func(q float64) time.Duration { return took[int(q*float64(len(took)-1))].Round(time.Microsecond) }
+	return fmt.Sprintf("p50 %v, p99 %v, p99.9 %v", at(0.5), at(0.99), at(0.999))
+}
