Keep a broken-off read broken off when the server sets its time for the next request

Cause, found by playing the tests on one core beside the standing test: net/http tells of an idle connection before it sets the time for its next request; a read broken off in between was whole again, and the connection stayed unparked until its time was over (park.go, tick).

--- a/internal/callers/park.go
+++ b/internal/callers/park.go
@@ -121,6 +121,19 @@
 	return true
 }
 
+// SetReadDeadline leaves a read that is broken off as it is: the server may set its time for the next request right after.
+func (k *Conn) SetReadDeadline(t time.Time) error {
+	if k.set.parking == nil {
+		return k.Conn.SetReadDeadline(t)
+	}
+	k.set.mu.Lock()
+	defer k.set.mu.Unlock()
+	if k.breaking {
+		return nil
+	}
+	return k.Conn.SetReadDeadline(t)
+}
+
 // Woken takes in that a parked connection has bytes, or is over.
 func (k *Conn) Woken() {
 	c := k.set
