A repeat is not written behind its window's end, and nothing is dialled for who has gone

That class's repeats are dropped by all servers, so only the window is left as the cause. balance's allows() asks for the window when the repeat is decided; host.Begin, right before the first byte, asked for the server and the caller alone. Ruled out: a re-dial inside backends.Exchange (Begin is asked again there), and the group.

Change: balance.MayBegin repeats the rule on effects at the send, over the attempts before this one. What no server may get any more is answered at once where it waits in line (retryHeld), not at its deadline. host.run asks the same, and whether the caller still waits, before a connection is looked for: TestNoDialForACallerThatHasGone.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -21,8 +21,7 @@
 	// meanStep smooths a class's means.
 	meanStep = 0.02
 	// holdShare of its aim is how long a request may be held before it is refused; holdFree where refusing is
-	// always harmless: its client comes again while an answer can still be in time, and of a last try it is
-	// known how old it is. Held for long, a try comes too late and so does the one after it.
+	// always harmless: its client comes again while an answer can still be in time.
 	holdShare, holdFree = 0.5, 0.05
 	// A class's cost is costQuantile of its answers' times, its tail tailQuantile; both are followed by
 	// quantileStep. minCost, in seconds, keeps them above 0.
@@ -72,12 +71,6 @@
 	b.held = slices.Insert(b.held, at, q)
 }
 
-// admitted says whether there is room for one more request. Only the first tier refuses for want of room:
-// a refusal further down would waste what the tiers above have done.
-func (b *Balancer) admitted(now time.Duration) bool {
-	return b.set.Layer > 0 || b.load()+1 <= b.room(now)
-}
-
 // load is how many requests are in flight at members that serve: what is stuck at a lost one is no work for
 // the others, and must not hold their places until it times out.
 func (b *Balancer) load() float64 {
@@ -155,14 +148,19 @@
 	}
 }
 
-// retryHeld looks for room for the held requests, the most worth first.
+// retryHeld looks for room for the held requests, the most worth first. Only the first tier refuses for want
+// of room: a refusal further down would waste what the tiers above have done.
 func (b *Balancer) retryHeld(now time.Duration) {
 	kept := b.held[:0]
 	for _, q := range b.held {
 		if q.answered {
 			continue
 		}
-		if b.admitted(now) {
+		if q.barred(now, q.mayHaveRun()) {
+			b.answer(now, q) // its window has ended
+			continue
+		}
+		if b.set.Layer > 0 || b.load()+1 <= b.room(now) {
 			if s := b.pick(now, q); s != nil {
 				b.send(now, q, s)
 				continue
@@ -188,7 +186,7 @@
 }
 
 // stayAway is how long a refused client should wait: until what is held now has had its turn, at random so
-// that those refused together do not come back together. 0 where clients are not told.
+// that those refused together come back apart. 0 where clients are not told.
 func (b *Balancer) stayAway(now time.Duration) time.Duration {
 	if !b.set.RetryAfter {
 		return 0
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,9 +3,7 @@
 // This file holds the events and a request's way through them; the interface (settings, events, actions) is
 // in types.go, and what is decided on the way has a file each: which servers there are (list, hand), the own
 // subset of them (subset), whom turns skip (pick, health, cold), who is let in (admission, quota) and what is
-// sent again (retry). A server is picked by subset, pick and canTake: the subset comes from the instance's
-// own number through a shuffle seeded by its round, turns rotate inside it, and members that cannot take a
-// request are skipped.
+// sent again (retry).
 package balance
 
 import (
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -913,7 +913,7 @@
 	lowest = f.b.limit
 	var out []string
 	for i := range n {
-		for len(out) < crowd && f.b.admitted(f.now) {
+		for len(out) < crowd && (f.b.set.Layer > 0 || f.b.load()+1 <= f.b.room(f.now)) {
 			id := fmt.Sprint("q", f.now, i, len(out))
 			f.submit(id, 0)
 			out = append(out, id)
--- a/balance/health.go
+++ b/balance/health.go
@@ -94,8 +94,8 @@
 }
 
 // mayEject is the panic threshold: failures that most of the slice shares do not come from its members, and
-// ejecting these would pile the load onto the last few. Who cannot be reached serves nothing either way, so
-// such members do not count: not while others answer, at least, which shows that the network between is well.
+// ejecting these would pile the load onto the last few. Who cannot be reached serves nothing either way, and
+// does not count while others answer, which shows that the network between is well.
 func (b *Balancer) mayEject(now time.Duration, s *server) bool {
 	if s.ejected > 0 {
 		return true // it is out already: the trial has failed
@@ -123,11 +123,10 @@
 
 // stalled notes that an attempt is out for longer than nearly all of its class take. A silent server shows in
 // nothing else, so it counts as a failure until an answer comes. It counts only where others are answered
-// meanwhile and this server says nothing at all, or is slower than its peers: a server that has answered
-// since the attempt was sent is not dead, and where nobody has answered anything as young, the silence is the
-// network's or our own. At a high rate many attempts meet one short pause; they count once in stallStep. No
-// second copy is sent: copies took the retry budget from real failures and multiplied from tier to tier,
-// which cost more than they saved.
+// meanwhile and this server says nothing at all, or is slower than its peers: one that has answered since is
+// not dead, and where nobody has answered anything as young, the silence is the network's or our own. Many
+// attempts may meet one short pause; they count once in stallStep. No second copy is sent: copies took the
+// retry budget from real failures and multiplied from tier to tier.
 func (b *Balancer) stalled(now time.Duration, q *request, index int) {
 	a := &q.attempts[index]
 	if a.over || q.answered || a.s.answered > a.at && !b.sick(a.s) {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -91,5 +91,5 @@
 // canTake says whether a server can take the request now.
 func (b *Balancer) canTake(now time.Duration, q *request, s *server) bool {
 	return s.usable() && s.inFlight < inFlightCap && b.sound(now, s) && !q.tried(s) &&
-		q.allows(now, s) && b.coldAllows(now, s)
+		q.allows(now, q.mayHaveRun(), s) && b.coldAllows(now, s)
 }
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -12,10 +12,12 @@
 )
 
 // mayHaveRun is the first attempt that may have run, or nil.
-func (q *request) mayHaveRun() *attempt {
-	for i := range q.attempts {
-		if !q.attempts[i].unrun {
-			return &q.attempts[i]
+func (q *request) mayHaveRun() *attempt { return firstRun(q.attempts) }
+
+func firstRun(attempts []attempt) *attempt {
+	for i := range attempts {
+		if !attempts[i].unrun {
+			return &attempts[i]
 		}
 	}
 	return nil
@@ -26,23 +28,29 @@
 	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.s == s && !a.unsent })
 }
 
-// allows keeps the rule on effects for a further send: it may go to s only if no attempt may have run, or
-// the class is free, or s is in the group that drops the repeat and still remembers it.
-func (q *request) allows(now time.Duration, s *server) bool {
-	first := q.mayHaveRun()
-	if first == nil || q.class.Effect == Free {
-		return true
-	}
-	if q.class.Effect == SingleShot || now >= first.at+q.class.Window {
+// allows keeps the rule on effects for a further send, where first may have run: it may go to s only if none
+// may have, or the class is free, or s is in the group that drops the repeat and still remembers it.
+func (q *request) allows(now time.Duration, first *attempt, s *server) bool {
+	return first == nil || q.class.Effect == Free || !q.barred(now, first) && (q.class.Group == GroupAll ||
+		q.class.Group == GroupZone && s.entry.Zone == first.s.entry.Zone ||
+		q.class.Group == GroupCell && s.entry.Cell == first.s.entry.Cell)
+}
+
+// barred says whether no server may get the request any more, where first may have run.
+func (q *request) barred(now time.Duration, first *attempt) bool {
+	return first != nil && q.class.Effect != Free &&
+		(q.class.Effect == SingleShot || now >= first.at+q.class.Window)
+}
+
+// MayBegin says whether an attempt may still be written. While its connection came up, its server may have
+// been taken out, and the group that drops a repeat may have forgotten the first.
+func (b *Balancer) MayBegin(now time.Duration, id string, attempt int) bool {
+	q := b.requests[id]
+	if q == nil || q.answered || attempt < 0 || attempt >= len(q.attempts) {
 		return false
 	}
-	switch q.class.Group {
-	case GroupZone:
-		return s.entry.Zone == first.s.entry.Zone
-	case GroupCell:
-		return s.entry.Cell == first.s.entry.Cell
-	}
-	return true
+	s := q.attempts[attempt].s
+	return s.usable() && q.allows(now, firstRun(q.attempts[:attempt]), s)
 }
 
 // refusable says whether the client may be told that trying again is harmless.
@@ -53,8 +61,7 @@
 
 // tryAgain follows an attempt that did not serve the request: another send where the class, the time and the
 // retry budget allow it, or else the final answer. An attempt that never ran was no work for its server, so
-// the one in its place adds none and needs no budget. In a lost room half of all sends end so, and those that
-// the budget did not cover came back from clients and upper tiers as new requests.
+// the one in its place needs no budget: refused for want of one, it came back as a new request.
 func (b *Balancer) tryAgain(now time.Duration, q *request, unrun bool) {
 	if !q.late(now) && len(q.attempts) < b.set.MaxAttempts && (unrun || b.retries >= 1) {
 		if s := b.pick(now, q); s != nil {
--- a/balance/room.go
+++ b/balance/room.go
@@ -13,9 +13,9 @@
 	since   time.Duration // when the first of them showed
 }
 
-// unheard notes that a server could not be reached, or is silent. One bad server condemns no room: the
-// others answer between. Nor do slow ones, which are silent at times: one must be out of reach. Nor does a
-// loss of our own network: somebody elsewhere must have answered since.
+// unheard notes that a server could not be reached, or is silent. One bad server condemns no room, as others
+// answer between, nor do slow ones: one must be out of reach. Nor does a loss of our own network: somebody
+// elsewhere must have answered since.
 func (b *Balancer) unheard(now time.Duration, s *server, unreachable bool) {
 	r := b.rooms[s.entry.Zone]
 	if r == nil {
--- a/balance/subset.go
+++ b/balance/subset.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// subsetBase is the smallest subset wanted. Few members keep connections few and let an instance
-	// with little traffic learn about each; the size is then raised, at most to double, to where the
-	// instances' slices cover all servers most evenly.
+	// subsetBase is the smallest subset wanted: few members keep connections few, and are soon known. The
+	// size is raised, at most to double, to where the instances' slices cover all servers most evenly.
 	subsetBase = 8
 	// shuffleStream keeps the rounds' generator apart from the instances' own.
 	shuffleStream = 0x6c656d6f6e666c6f
@@ -72,10 +71,9 @@
 }
 
 // keepSlots keeps the order that the shuffle starts from while servers come and go, and reports whether that
-// could be done. Sorting anew would shift every later server and reshuffle nearly all subsets at each step of
-// a release or crash, at each instance at another time. So who is gone keeps its place, empty; a new id takes
-// the place of one that is gone or draining; and a new server that replaces nobody waits, for as long as it
-// would be cold at most, for a place to come free.
+// could be done: sorting anew would reshuffle nearly all subsets at each step of a release, at each instance
+// at another time. So who is gone keeps its place, empty; a new id takes the place of one that is gone or
+// draining; and one that replaces nobody waits, for as long as it would be cold at most, for a place.
 func (b *Balancer) keepSlots(now time.Duration) bool {
 	var joining []*server
 	for _, s := range b.servers {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -323,8 +323,8 @@
 
 // run carries an attempt out.
 func (i *Instance) run(a *attempt) {
-	if a.end <= a.sent || i.isClosed() {
-		i.end(a, balance.Ignored, nil) // its time has expired: never sent
+	if !a.mayDial() {
+		i.end(a, balance.Ignored, nil) // never sent
 		return
 	}
 	exchange := i.backends.Exchange
@@ -335,21 +335,33 @@
 	i.end(a, outcome, r)
 }
 
+// mayDial says whether an attempt is still wanted before a connection is looked for: it may have waited for a worker, and
+// its request in the balancer's line before that.
+func (a *attempt) mayDial() bool {
+	i := a.instance
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.closed && a.end > a.sent && i.wanted(a, i.now()) && i.awaited(a.request)
+}
+
+// wanted says whether an attempt may still be sent for all that is known here; mu is held. The list or a hand may have taken its server
+// out since it was decided, or the servers that drop a repeat may have forgotten the first attempt.
+func (i *Instance) wanted(a *attempt, now time.Duration) bool {
+	return i.address[a.to.Server] == a.to && !a.request.answered && a.ctx.Err() == nil &&
+		i.balancer.MayBegin(now, a.request.id, a.number)
+}
+
 // Begin says how long an attempt that is about to be written may take, and whether it is still wanted.
 func (a *attempt) Begin() (time.Duration, bool) {
 	i := a.instance
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	left := a.end - i.now()
+	now := i.now()
+	left := a.end - now
 	if a.request.arriving {
 		left = a.end - a.sent
 	}
-	// While the connection came up, the list or a hand may have taken the server out.
-	usable := i.address[a.to.Server] == a.to && i.balancer.MaySend(a.to.Server)
-	wanted := usable && left > 0 && !a.request.answered && a.ctx.Err() == nil
-	if wanted {
-		wanted = i.awaited(a.request)
-	}
+	wanted := i.wanted(a, now) && left > 0 && i.awaited(a.request)
 	if wanted && a.request.message.Offer != nil {
 		wanted = i.channels.MayOpen(a.to.Server)
 	}
@@ -836,12 +848,6 @@
 // Final takes exactly one final answer; it never stays empty past the request's time.
 func (q *Request) Final() <-chan Final { return q.final }
 
-func (i *Instance) isClosed() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.closed
-}
-
 // Close ends the instance: it calls off what is out, fails what is open, and returns once no attempt runs. It is
 // for the end of a proxy, when nobody waits for an answer any more.
 func (i *Instance) Close() {
