News of the list is known within 6 s, whatever became of the calls for it

The term: a change counts as told 6 s after discovery had it and could be reached, whatever call failed, was refused or given up. To blame: balance/list.go waited up to half of the allowed time after a failure, and internal/discovery gave a silent call 3.3 s and the next one again.

Change: the balancer waits 1 s at most. A call that is overdue stays out while another is made beside it on a connection of its own; of three the oldest is given up. A silent call cannot be told from one that waits in discovery's line, and giving it up would lose the place.

The operator file's check on slack goes by hold and slack together, since both go into that bound; a hold of 20 s is refused now.

--- a/balance/list.go
+++ b/balance/list.go
@@ -2,8 +2,10 @@
 
 import "time"
 
-// watchWarn failed watches in a row are told to people.
-const watchWarn = 4
+const (
+	watchWarn = 4           // failed watches in a row are told to people
+	watchMost = time.Second // until the list is asked for again: what changes soon counts as told
+)
 
 // Update takes in what the list service says.
 func (b *Balancer) Update(now time.Duration, kind ListKind, entries []Entry) {
@@ -46,12 +48,11 @@
 }
 
 // watchSoon subscribes where the list must be asked. The wait is random and grows with each failure, so
-// that a whole tier started at once does not swamp the list service; it stays under AskEvery, after which
-// an instance counts as told of what it has not heard.
+// that a whole tier started at once does not swamp the list service.
 func (b *Balancer) watchSoon() {
 	if !b.set.AskForList {
 		return
 	}
-	wait := min(b.set.AskEvery/16<<min(b.watchFail, 3), b.set.AskEvery/2)
+	wait := min(b.set.AskEvery/16<<min(b.watchFail, 3), watchMost)
 	b.after(time.Duration(b.random()*float64(wait)), func(time.Duration) { b.host.Watch() })
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,9 +20,13 @@
 )
 
 const (
-	// plainWait bounds a call that does not hold: discovery works calls off in turn and gives up on them
-	// after 3 s.
-	plainWait = 3500 * time.Millisecond
+	// callWait is how long a call that does not hold may take: discovery works calls off in turn, and who gives up
+	// sooner loses a place in the line.
+	callWait = 3500 * time.Millisecond
+	// overlap is how long a call may be overdue before another is made beside it, on a connection of its own. Of two
+	// that are out the older one is given up for a third, which leaves each that does not hold its callWait. A silent
+	// call cannot be told from one that waits in line; to give it up for the next one would lose the place each time.
+	overlap = callWait / 2
 	// moveSettle is how long after a move to another address all calls are short and are repeated after
 	// movePause when they fail: all that there is to tell counts as told 4 s after the move.
 	moveSettle = 4 * time.Second
@@ -103,14 +107,15 @@
 	log    *slog.Logger
 	update func(balance.ListKind, []balance.Entry, map[string]string)
 
-	watching atomic.Bool
-	seq      atomic.Int64 // the version held; -1 for none
+	seq atomic.Int64 // the version held; -1 for none
 
-	mu      sync.Mutex
-	address string
-	options Options
-	movedAt time.Time
-	hangUp  context.CancelCauseFunc // of the call that is out
+	mu       sync.Mutex
+	watching bool
+	address  string
+	options  Options
+	movedAt  time.Time
+	moves    int                     // so far
+	hangUp   context.CancelCauseFunc // of the calls that are out
 }
 
 // errCutOff is what a call ends with whose answer had begun.
@@ -130,7 +135,7 @@
 	d.client = &http.Client{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableCompression:     true,
-		MaxConnsPerHost:        2, // beside the one in use, one that is just being closed
+		MaxConnsPerHost:        4, // beside the two in use, some that are just being closed
 		MaxIdleConns:           1,
 		MaxResponseHeaderBytes: maxHead,
 	}}
@@ -143,6 +148,7 @@
 func (d *Client) Move(address string) {
 	d.mu.Lock()
 	d.address, d.movedAt = address, time.Now()
+	d.moves++
 	d.hangUp(errMoved)
 	d.mu.Unlock()
 	d.client.CloseIdleConnections()
@@ -155,38 +161,62 @@
 	return !d.movedAt.IsZero() && time.Since(d.movedAt) < moveSettle
 }
 
-// Watch follows the changes until a call fails. The next call goes out as soon as the last is answered, so
-// that what changes in between counts as told by the watch. A call that stayed silent, or whose answer was cut off, is
-// repeated once on a new connection: the old one may lead to a machine that was cut off meanwhile, and what the answer
-// should have told counts as told soon, if it does not already. Where that befalls many at once discovery is asked by all
-// of them at once; who is turned away then waits as long as the balancer says.
+// Watch follows the changes until asking for them fails. The next call goes out as soon as the last is answered, so
+// that what changes in between counts as told by the watch. An answer that was cut off is asked for once more at once:
+// what it should have told counts as told soon, if it does not already. Where that befalls many at once discovery is
+// asked by all of them at once; who is turned away then waits as long as the balancer says.
 func (d *Client) Watch(ctx context.Context) {
-	if !d.watching.CompareAndSwap(false, true) {
+	if !d.begin() {
 		return
 	}
-	var err error
-	for again := false; ctx.Err() == nil; {
-		if err = d.call(ctx); err == nil {
+	for again := false; ; {
+		moves, err := d.ask(ctx)
+		switch {
+		case ctx.Err() != nil:
+		case err == nil:
 			again = false
 			continue
-		}
-		switch {
 		case errors.Is(err, errMoved):
+			continue
 		case d.settling():
 			sleep(ctx, movePause)
-		case (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errCutOff)) && !again:
+			continue
+		case errors.Is(err, errCutOff) && !again:
 			again = true
 			d.log.Info("a call for the server list is made again", "error", err)
-		default:
-			d.watching.Store(false)
-			if ctx.Err() == nil {
-				d.log.Warn("watch on the server list broke", "error", err)
-				d.update(balance.ListFailed, nil, nil)
-			}
-			return
+			continue
+		}
+		if !d.end(moves) && ctx.Err() == nil {
+			continue // it has moved since: the new address has not failed yet
+		}
+		if ctx.Err() == nil {
+			d.log.Warn("watch on the server list broke", "error", err)
+			d.update(balance.ListFailed, nil, nil)
 		}
+		return
+	}
+}
+
+// begin says whether this watch is the only one.
+func (d *Client) begin() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.watching {
+		return false
 	}
-	d.watching.Store(false)
+	d.watching = true
+	return true
+}
+
+// end ends the watch, unless discovery has moved meanwhile: who moved it counts on the watch that runs.
+func (d *Client) end(moves int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.moves != moves {
+		return false
+	}
+	d.watching = false
+	return true
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -204,85 +234,168 @@
 	}
 }
 
-// target is the call to make next and how long it may take; ctx ends with a move.
-func (d *Client) target(ctx context.Context) (url string, wait time.Duration, _ context.Context) {
+// round is one question to discovery, asked by one call or several.
+type round struct {
+	moves       int    // before it
+	url         string // of the list
+	from        int64  // the version held; below 0 for none
+	hold, slack time.Duration
+}
+
+// round begins the next one; ctx ends with a move.
+func (d *Client) round(ctx context.Context) (round, context.Context) {
 	settling := d.settling()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	options := d.options
-	url, wait = "http://"+d.address+"/catalog/members", plainWait // answers at once with the whole list
-	if seq := d.seq.Load(); seq >= 0 {
-		hold := options.Hold
-		if settling {
-			hold = moveHold
-		}
-		url += fmt.Sprintf("?from=%d&hold_ms=%d", seq, hold.Milliseconds())
-		wait = hold + options.Slack
+	r := round{
+		moves: d.moves, url: "http://" + d.address + "/catalog/members", from: d.seq.Load(),
+		hold: d.options.Hold, slack: d.options.Slack,
+	}
+	if settling {
+		r.hold = moveHold
 	}
 	ctx, d.hangUp = context.WithCancelCause(ctx)
-	return url, wait, ctx
+	return r, ctx
+}
+
+// target is the call that the round makes after so many others, by when another is made beside it, and when it is given
+// up. Only the first one waits for news: the others are made because nothing is known of what it should have told.
+func (r *round) target(earlier int) (url string, overdue, wait time.Duration) {
+	switch {
+	case r.from < 0:
+		return r.url, overlap, callWait // answered at once with the whole list
+	case earlier == 0:
+		return fmt.Sprintf("%s?from=%d&hold_ms=%d", r.url, r.from, r.hold.Milliseconds()), r.hold + r.slack, r.hold + callWait
+	}
+	return fmt.Sprintf("%s?from=%d&hold_ms=0", r.url, r.from), overlap, callWait
 }
 
-func (d *Client) call(ctx context.Context) error {
-	url, wait, ctx := d.target(ctx)
+// answer is how one call ended.
+type answer struct {
+	list *Catalog
+	err  error
+}
+
+// ask has one question answered, and takes the answer in; it says how often discovery had moved before. A call that is
+// overdue stays out while another is made on a new connection: the old one may lead to a machine that was cut off
+// meanwhile. The first answer counts and ends the others; it has failed once none is out any more.
+func (d *Client) ask(ctx context.Context) (moves int, err error) {
+	r, ctx := d.round(ctx)
 	defer d.hangUpNow()
-	timed, cancel := context.WithTimeout(ctx, wait)
+	var (
+		answers = make(chan answer)
+		calls   sync.WaitGroup
+		out     []context.CancelFunc // of the calls made, the oldest first
+		pending int
+		late    = time.NewTimer(callWait) // set by each call
+	)
+	defer late.Stop()
+	calling, cancel := context.WithCancel(ctx)
+	defer calls.Wait()
 	defer cancel()
+	call := func() {
+		url, overdue, wait := r.target(len(out))
+		if len(out) > 0 {
+			d.log.Info("a call for the server list is overdue; another is made beside it")
+			d.client.CloseIdleConnections()
+		}
+		if len(out) >= 2 {
+			out[len(out)-2]()
+		}
+		timed, give := context.WithTimeout(calling, wait)
+		out = append(out, give)
+		pending++
+		calls.Go(func() {
+			defer give()
+			list, err := d.call(timed, url)
+			select {
+			case answers <- answer{list, err}:
+			case <-calling.Done():
+			}
+		})
+		late.Reset(overdue)
+	}
+	for call(); ; {
+		select {
+		case <-ctx.Done():
+			return r.moves, context.Cause(ctx)
+		case <-late.C:
+			call()
+		case a := <-answers:
+			pending--
+			switch {
+			case a.err == nil:
+				cancel()
+				calls.Wait()
+				d.Take(a.list, a.list.kind())
+				return r.moves, nil
+			case context.Cause(ctx) == errMoved:
+				return r.moves, errMoved
+			case pending == 0:
+				return r.moves, a.err
+			}
+		}
+	}
+}
+
+// call makes one call.
+func (d *Client) call(ctx context.Context, url string) (*Catalog, error) {
 	begun := time.Now()
-	err := d.fetch(timed, url)
+	list, err := d.fetch(ctx, url)
 	if d.log.Enabled(ctx, slog.LevelDebug) {
 		d.log.Debug(TraceCall, "took_ms", time.Since(begun).Milliseconds(), "seq", d.seq.Load(), "error", err)
 	}
-	if err != nil && context.Cause(ctx) == errMoved {
-		return errMoved
-	}
-	return err
+	return list, err
 }
 
 // TraceCall is the line at level debug that tells of each call that has ended; `brasswell count` reads it.
 const TraceCall = "call"
 
-// hangUpNow frees what the call that has ended holds.
+// hangUpNow frees what the round that has ended holds.
 func (d *Client) hangUpNow() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.hangUp(nil)
 }
 
-func (d *Client) fetch(ctx context.Context, url string) error {
+func (d *Client) fetch(ctx context.Context, url string) (*Catalog, error) {
 	var begun atomic.Bool // the answer; Do may return before the trace's call does
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
 		if begun.Load() {
-			return fmt.Errorf("%w: %w", errCutOff, err)
+			return nil, fmt.Errorf("%w: %w", errCutOff, err)
 		}
-		return err
+		return nil, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("discovery answered %s", resp.Status)
+		return nil, fmt.Errorf("discovery answered %s", resp.Status)
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
 	switch {
 	case err != nil:
-		return fmt.Errorf("%w: %w", errCutOff, err)
+		return nil, fmt.Errorf("%w: %w", errCutOff, err)
 	case len(text) > maxList:
-		return fmt.Errorf("discovery's answer is over %d bytes", maxList)
+		return nil, fmt.Errorf("discovery's answer is over %d bytes", maxList)
 	}
 	c, err := ReadCatalog(text)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errCutOff, err)
+		return nil, fmt.Errorf("%w: %w", errCutOff, err)
 	}
-	kind := balance.Delta
+	return c, nil
+}
+
+// kind says how the list relates to the one already held.
+func (c *Catalog) kind() balance.ListKind {
 	if c.Whole {
-		kind = balance.Full
+		return balance.Full
 	}
-	return d.Take(c, kind)
+	return balance.Delta
 }
 
 // ReadCatalog reads a list in discovery's form.
--- a/internal/discovery/options.go
+++ b/internal/discovery/options.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"fmt"
 	"time"
 
 	"brasswell/internal/operator"
@@ -12,13 +13,21 @@
 	// Slack after that, and what changed meanwhile is missed until then: with 20 s a whole release went by. The
 	// shorter, the more calls discovery has to serve; an answer without news holds no entries.
 	Hold time.Duration
-	// Slack on top of Hold is when a call counts as silent: a machine that is cut off says nothing. What changed
-	// meanwhile counts as told 2 s after the hold, so by then another call must have asked.
+	// Slack on top of Hold is when a call counts as overdue: a machine that is cut off says nothing. What changed
+	// meanwhile counts as told, so by then another call must have asked.
 	Slack time.Duration
 }
 
-// toldAfter is how long after a hold what changed counts as told, by the protocol.
-const toldAfter = 2 * time.Second
+const (
+	// toldWithin is when what discovery had while it could be reached counts as told, whatever became of the calls.
+	toldWithin = 6 * time.Second
+	// answerRoom of that is left for the answer of the call that gets one.
+	answerRoom = 900 * time.Millisecond
+)
+
+// lastCall is how long after a watch was opened the third call of its round begins at the latest: the first two may stay
+// silent, and what has changed meanwhile is still told in time.
+func (o *Options) lastCall() time.Duration { return o.Hold + o.Slack + overlap }
 
 // DefaultOptions find a silent discovery within the time after which its news counts as told.
 func DefaultOptions() Options {
@@ -38,8 +47,9 @@
 				"How long after that a call counts as silent and is made again.").OnReload(),
 		},
 		Check: func() []operator.Problem {
-			if o.Slack >= toldAfter {
-				return []operator.Problem{{Key: "slack", Text: "must stay under 2s: what changed counts as told 2s after the hold, and by then another call must have asked"}}
+			if most := toldWithin - answerRoom - overlap; o.Hold+o.Slack > most {
+				return []operator.Problem{{Key: "slack", Text: fmt.Sprintf("hold and slack must stay within %v together: what changed counts as told %v after it did, and by then "+
+					"two more calls must have asked; lower either", most, toldWithin)}}
 			}
 			return nil
 		},
--- /dev/null
+++ b/internal/discovery/told_test.go
@@ -0,0 +1,530 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"brasswell/balance"
+)
+
+// TestNewsFitsBehindTwoSilentCalls computes the bound from the options, for a watch, for a whole list and after a move.
+func TestNewsFitsBehindTwoSilentCalls(t *testing.T) {
+	o := DefaultOptions()
+	watch := o.lastCall()
+	whole := 2 * overlap
+	moved := moveHold + o.Slack + overlap
+	t.Logf("the third call begins within %v of a watch, %v of a call for the whole list, %v of a move", watch, whole, moved)
+	if watch+answerRoom > toldWithin || whole+answerRoom > toldWithin || moved > 4*time.Second {
+		t.Errorf("%v and %v must leave %v of %v; %v must stay within 4 s", watch, whole, answerRoom, toldWithin, moved)
+	}
+	for _, hold := range []time.Duration{50 * time.Millisecond, 2500 * time.Millisecond, 3350 * time.Millisecond, 3400 * time.Millisecond, time.Minute} {
+		o := Options{Hold: hold, Slack: 50 * time.Millisecond}
+		s := o.Section()
+		if fits, refused := o.lastCall()+answerRoom <= toldWithin, len(s.Check()) > 0; fits == refused {
+			t.Errorf("hold %v: fits %t, refused %t", hold, fits, refused)
+		}
+	}
+}
+
+// fault is what becomes of a call.
+type fault string
+
+const (
+	well     fault = "well"     // answered
+	unborn   fault = "unborn"   // its connection never comes up
+	rejected fault = "rejected" // its connection is refused
+	silent   fault = "silent"   // taken, and never a word
+	resetAt  fault = "reset"    // taken, and ended with no answer
+	cut      fault = "cut"      // answered by half
+	turned   fault = "refused"  // 503
+)
+
+// service is discovery on pipes, so that a test may set its clock: what becomes of a call is said when it is dialled and
+// when it asks.
+type service struct {
+	mu     sync.Mutex
+	fate   func(call int) fault // by how many were made before
+	calls  int
+	asked  []time.Duration // when each request came whole
+	turn   func() bool     // waits until a call is worked on, and says no if that takes too long; nil for at once
+	change chan struct{}   // closed when the change is there
+	start  time.Time
+	open   []net.Conn
+	over   chan struct{} // closed at the end
+	serves sync.WaitGroup
+}
+
+func newService() *service {
+	return &service{change: make(chan struct{}), over: make(chan struct{}), start: time.Now()}
+}
+
+// made is when each call asked, and how many were made.
+func (s *service) made() ([]time.Duration, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.asked), s.calls
+}
+
+// close ends all connections, and waits for who served them.
+func (s *service) close() {
+	s.mu.Lock()
+	for _, c := range s.open {
+		c.Close()
+	}
+	s.mu.Unlock()
+	close(s.over)
+	s.serves.Wait()
+}
+
+var errRefusedDial = errors.New("connection refused")
+
+func (s *service) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	s.mu.Lock()
+	f := s.fate(s.calls)
+	if f == unborn || f == rejected {
+		s.calls++
+	}
+	s.mu.Unlock()
+	switch f {
+	case rejected:
+		return nil, errRefusedDial
+	case unborn:
+		ctx, cancel := context.WithTimeout(ctx, time.Second) // the dialer's own
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	s.mu.Lock()
+	s.open = append(s.open, far)
+	s.mu.Unlock()
+	s.serves.Go(func() { s.serve(far) })
+	return near, nil
+}
+
+func (s *service) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		f := s.fate(s.calls)
+		s.calls++
+		s.asked = append(s.asked, time.Since(s.start))
+		s.mu.Unlock()
+		switch f {
+		case silent, unborn, rejected: // it was dialled when all was well
+			io.Copy(io.Discard, c) // until the caller gives up
+			return
+		case resetAt:
+			return
+		case turned:
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		from, held := req.URL.Query().Get("from"), time.Duration(0)
+		if ms, err := strconv.Atoi(req.URL.Query().Get("hold_ms")); err == nil {
+			held = time.Duration(ms) * time.Millisecond
+		}
+		if from == "1" {
+			s.hold(held, s.change)
+		}
+		if s.turn != nil && !s.turn() {
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		text := `{"seq":1,"whole":false,"hosts":[]}`
+		select {
+		case <-s.change:
+			text = list(2, from == "", host("a", "127.0.0.1:1", "draining"))
+		default:
+			if from == "" {
+				text = list(1, true, host("a", "127.0.0.1:1", "up"))
+			}
+		}
+		if from == "2" {
+			text = `{"seq":2,"whole":false,"hosts":[]}`
+			s.hold(held, nil)
+		}
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		if f == cut {
+			answer = answer[:len(answer)-10]
+		}
+		if _, err := io.WriteString(c, answer); err != nil || f == cut {
+			return
+		}
+	}
+}
+
+// hold waits for news.
+func (s *service) hold(at time.Duration, news <-chan struct{}) {
+	over := time.NewTimer(at)
+	defer over.Stop()
+	select {
+	case <-news:
+	case <-over.C:
+	case <-s.over:
+	}
+}
+
+// follower is a balancer that follows a service as a proxy's does.
+type follower struct {
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	watch    func()
+	told     chan struct{} // closed once the drain is known
+	once     sync.Once
+}
+
+func (f *follower) Send(string, string, time.Duration) {}
+func (f *follower) Refuse(string, time.Duration)       {}
+func (f *follower) Fail(string)                        {}
+func (f *follower) Cancel(string, int)                 {}
+func (f *follower) Log(string)                         {}
+func (f *follower) Watch()                             { f.watch() }
+func (f *follower) SetTimer(d time.Duration, token uint64) {
+	time.AfterFunc(d, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.balancer.Timer(time.Duration(time.Now().UnixNano()), token)
+	})
+}
+
+// followAt plays one proxy against a service of which calls meet a fault until back, and once more after it; the change
+// is there from changed on. It returns how long after both the proxy has been told.
+func followAt(t *testing.T, askEvery, changed, back time.Duration, seed uint64, during, after fault) (late time.Duration, calls int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		defer s.close()
+		meets := -1 // the call that meets the fault after
+		s.fate = func(call int) fault {
+			switch now := time.Since(s.start); {
+			case now < 500*time.Millisecond:
+				return well
+			case now < back:
+				return during
+			case meets < 0 || meets == call:
+				meets = call
+				return after
+			}
+			return well
+		}
+		f := &follower{told: make(chan struct{})}
+		ctx, cancel := context.WithCancel(t.Context())
+		var watches sync.WaitGroup
+		d := New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+			func(kind balance.ListKind, entries []balance.Entry, _ map[string]string) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.balancer.Update(time.Duration(time.Now().UnixNano()), kind, entries)
+				if f.balancer.MaySend("a") || len(entries) == 0 {
+					return
+				}
+				f.once.Do(func() { close(f.told) })
+			})
+		d.client.Transport.(*http.Transport).DialContext = s.dial
+		f.watch = func() { watches.Go(func() { d.Watch(ctx) }) }
+		var err error
+		f.balancer, err = balance.New(balance.Settings{
+			Instances: 1, MaxAttempts: 1, AskForList: true, AskEvery: askEvery,
+			Classes: []balance.Class{{Aim: time.Second, GiveUp: time.Second}},
+		}, seed, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		known, err := ReadCatalog([]byte(list(1, true, host("a", "127.0.0.1:1", "up"))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Take(known, balance.Cached)
+		time.Sleep(changed)
+		close(s.change)
+		select {
+		case <-f.told:
+		case <-time.After(time.Minute):
+			asked, _ := s.made()
+			t.Errorf("never told; calls at %v", asked)
+		}
+		late = time.Since(s.start) - max(changed, back)
+		cancel()
+		watches.Wait()
+		d.CloseIdle()
+		_, calls = s.made()
+	})
+	return late, calls
+}
+
+// TestToldInTimeWhateverACallMet: discovery is out of reach in each of the ways it can be, for times that let the back-off
+// grow, and the first call that it takes again meets a fault of its own. The drain is known toldWithin after discovery had
+// it and could be reached, whatever the settings allow between two calls.
+func TestToldInTimeWhateverACallMet(t *testing.T) {
+	outages := []fault{unborn, rejected, silent, resetAt, cut, turned}
+	faults := append([]fault{well}, outages...)
+	for _, askEvery := range []time.Duration{5 * time.Second, 10 * time.Second, time.Minute} {
+		t.Run(fmt.Sprint(askEvery), func(t *testing.T) {
+			t.Parallel()
+			worst, plays := map[string]time.Duration{}, 0
+			for _, during := range outages {
+				for _, after := range faults {
+					for step := range 24 {
+						back := 2*time.Second + time.Duration(step)*537*time.Millisecond
+						changed := 1500 * time.Millisecond
+						if step%2 == 1 {
+							changed = back + time.Duration(step)*130*time.Millisecond
+						}
+						late, _ := followAt(t, askEvery, changed, back, uint64(step), during, after)
+						name := string(during) + ", then " + string(after)
+						worst[name] = max(worst[name], late)
+						plays++
+					}
+				}
+			}
+			for name, late := range worst {
+				if late > toldWithin {
+					t.Errorf("%s: told %v after discovery had it and could be reached", name, late)
+				}
+			}
+			var most time.Duration
+			for _, late := range worst {
+				most = max(most, late)
+			}
+			t.Logf("%d plays, told within %v at worst: %v", plays, most, worst)
+		})
+	}
+}
+
+// TestOverdueCallStaysOut: the first call hangs, the second, made beside it, hangs too, and the third is answered. Each is
+// made while the one before is still open, the oldest of three is given up, and one answer is taken in.
+func TestOverdueCallStaysOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		defer s.close()
+		s.fate = func(call int) fault {
+			if call < 2 {
+				return silent
+			}
+			return well
+		}
+		close(s.change)
+		ctx, cancel := context.WithCancel(t.Context())
+		var told []balance.ListKind
+		var d *Client
+		d = New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+			func(kind balance.ListKind, _ []balance.Entry, _ map[string]string) {
+				told = append(told, kind)
+				cancel()
+			})
+		d.client.Transport.(*http.Transport).DialContext = s.dial
+		d.Resume(1)
+		d.Watch(ctx)
+		d.CloseIdle()
+		o := DefaultOptions()
+		want := []time.Duration{0, o.Hold + o.Slack, o.lastCall()}
+		if asked, _ := s.made(); !slices.Equal(asked, want) {
+			t.Errorf("calls at %v, want %v", asked, want)
+		}
+		if len(told) != 1 || told[0] != balance.Delta || d.Seq() != 2 {
+			t.Errorf("told %v, version %d", told, d.Seq())
+		}
+	})
+}
+
+// TestALateAnswerStillCounts: the call that was overdue is answered while the second one is out: discovery works calls off
+// in turn, and the place in the line was kept.
+func TestALateAnswerStillCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		defer s.close()
+		s.fate = func(call int) fault {
+			if call == 1 {
+				return silent
+			}
+			return well
+		}
+		time.AfterFunc(3400*time.Millisecond, func() { close(s.change) }) // behind the first call's hold, which the service exceeds
+		ctx, cancel := context.WithCancel(t.Context())
+		told := 0
+		d := New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+			func(balance.ListKind, []balance.Entry, map[string]string) { told++; cancel() })
+		d.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := s.dial(ctx, network, address)
+			return longHold{c}, err
+		}
+		d.Resume(1)
+		d.Watch(ctx)
+		d.CloseIdle()
+		if _, calls := s.made(); told != 1 || d.Seq() != 2 || calls != 2 {
+			t.Errorf("told %d times, version %d, %d calls; want the first call's answer while the second is out", told, d.Seq(), calls)
+		}
+	})
+}
+
+// longHold makes the service hold calls for longer than they ask for.
+type longHold struct{ net.Conn }
+
+func (l longHold) Write(b []byte) (int, error) {
+	_, err := l.Conn.Write([]byte(strings.Replace(string(b), "hold_ms=2500", "hold_ms=3450", 1)))
+	return len(b), err
+}
+
+// TestMoveMeetsTheEndOfAWatch: discovery moves between the call that fails and the end of its watch. Whoever moved it was
+// told that a watch runs, so that one must go on at the new address.
+func TestMoveMeetsTheEndOfAWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		defer s.close()
+		close(s.change)
+		ctx, cancel := context.WithCancel(t.Context())
+		var d *Client
+		s.fate = func(call int) fault {
+			if call == 0 {
+				// The call is being refused; by the time it is, discovery has moved.
+				d.mu.Lock()
+				d.moves++
+				d.mu.Unlock()
+				return rejected
+			}
+			return well
+		}
+		var told []balance.ListKind
+		d = New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+			func(kind balance.ListKind, _ []balance.Entry, _ map[string]string) {
+				told = append(told, kind)
+				cancel()
+			})
+		d.client.Transport.(*http.Transport).DialContext = s.dial
+		d.Resume(1)
+		d.Watch(ctx)
+		d.CloseIdle()
+		if len(told) != 1 || told[0] != balance.Delta {
+			t.Errorf("told %v, want the list from the new address and no failure", told)
+		}
+	})
+}
+
+// TestThreeHundredComeBack: discovery was down for 8 s and then has a drain to tell to 300 proxies, of which it serves so
+// many lines a second as one line for each call comes to in 1.5 s. All know of it in time, and in asking for it they make
+// few calls more than there are proxies: the pauses are short, and still no herd.
+func TestThreeHundredComeBack(t *testing.T) {
+	const (
+		proxies = 300
+		lines   = 200 // a second
+		patient = 3 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		defer s.close()
+		back := 10 * time.Second
+		queue := make(chan struct{}, 1)
+		perSecond := map[int]int{}
+		s.fate = func(int) fault {
+			now := time.Since(s.start)
+			if now > 2*time.Second && now < back {
+				return rejected
+			}
+			return well
+		}
+		s.turn = func() bool { // each call waits for those before it
+			if time.Since(s.start) < back {
+				return true
+			}
+			select {
+			case queue <- struct{}{}:
+			case <-time.After(patient):
+				return false
+			}
+			time.Sleep(time.Second / lines)
+			s.mu.Lock()
+			perSecond[int(time.Since(s.start)/time.Second)]++
+			s.mu.Unlock()
+			<-queue
+			return true
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var watches sync.WaitGroup
+		var clients []*Client
+		var mu sync.Mutex
+		var told []time.Duration
+		all := make(chan struct{})
+		for n := range proxies {
+			f := &follower{}
+			var d *Client
+			d = New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+				func(kind balance.ListKind, entries []balance.Entry, _ map[string]string) {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.balancer.Update(time.Duration(time.Now().UnixNano()), kind, entries)
+					if len(entries) > 0 && !f.balancer.MaySend("a") {
+						mu.Lock()
+						defer mu.Unlock()
+						if told = append(told, time.Since(s.start)-back); len(told) == proxies {
+							close(all)
+						}
+					}
+				})
+			d.client.Transport.(*http.Transport).DialContext = s.dial
+			f.watch = func() { watches.Go(func() { d.Watch(ctx) }) }
+			var err error
+			if f.balancer, err = balance.New(balance.Settings{
+				Instances: 1, MaxAttempts: 1, AskForList: true, AskEvery: 10 * time.Second,
+				Classes: []balance.Class{{Aim: time.Second, GiveUp: time.Second}},
+			}, uint64(n), f); err != nil {
+				t.Fatal(err)
+			}
+			clients = append(clients, d)
+		}
+		known, err := ReadCatalog([]byte(list(1, true, host("a", "127.0.0.1:1", "up"))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range clients {
+			d.Take(known, balance.Cached)
+		}
+		time.Sleep(back - time.Millisecond)
+		close(s.change)
+		before, _ := s.made()
+		select {
+		case <-all:
+		case <-time.After(time.Minute):
+		}
+		asked, _ := s.made()
+		calls, most := len(asked)-len(before), 0
+		s.mu.Lock()
+		for _, n := range perSecond {
+			most = max(most, n)
+		}
+		s.mu.Unlock()
+		mu.Lock()
+		if len(told) < proxies || told[proxies-1] > toldWithin || most > lines {
+			t.Errorf("%d of %d told, the last after %v; %d lines in a second", len(told), proxies, told[len(told)-1], most)
+		} else {
+			t.Logf("all %d told within %v by %d calls, at most %d lines in a second", proxies, told[proxies-1], calls, most)
+		}
+		if calls > proxies*9/4 { // one that tells, and one that waits for more
+			t.Errorf("%d calls by %d proxies to be told and to wait on", calls, proxies)
+		}
+		mu.Unlock()
+		cancel()
+		watches.Wait()
+		for _, d := range clients {
+			d.CloseIdle()
+		}
+	})
+}
