Servers put back by all instances at once are spared, and a fleet that is all cold is used

The lead: each instance may hold a whole token for a cold server, and 30 such tokens can meet. To blame: Resume gave each instance a whole token.

Without that token TestAllSuspended showed what the list's own start had all along: where no warm server answers, the budget is 0 and stays so, and a fleet that is all cold gets nothing until it is warm. coldLeast sends in FallTime, shared by those that hold the server, are borne by any server: the rule itself puts 2 down to chance.

--- a/balance/bed_test.go
+++ b/balance/bed_test.go
@@ -16,6 +16,9 @@
 	nodes   map[string]*bedNode
 	classes []Class
 	seconds []bedSecond
+	work    time.Duration // of a core, in the mean
+	came    int           // requests so far
+	busy    []int         // hosts by number, each as often as its part of the traffic; nil for even parts
 }
 
 // bedSecond counts what came in one second of the day, and what was sent in it.
@@ -35,7 +38,7 @@
 
 const (
 	bedCores   = 3
-	bedWork    = 60 * ms  // of a core, in the mean
+	bedWork    = 60 * ms
 	bedConnect = 150 * ms // until a connection counts as failed
 	bedTell    = 2 * time.Second
 )
@@ -57,7 +60,13 @@
 
 func newBed(t testing.TB, instances, servers int, seed uint64) *bed {
 	t.Helper()
-	d := &bed{day: newDay(), rng: rand.New(rand.NewPCG(seed, 3)), nodes: map[string]*bedNode{}}
+	return newBedAs(t, instances, servers, seed, func(*Settings) {})
+}
+
+// newBedAs is newBed with other settings.
+func newBedAs(t testing.TB, instances, servers int, seed uint64, change func(*Settings)) *bed {
+	t.Helper()
+	d := &bed{day: newDay(), rng: rand.New(rand.NewPCG(seed, 3)), nodes: map[string]*bedNode{}, work: bedWork}
 	list := fleet(servers)
 	for _, e := range list {
 		d.nodes[e.ID] = &bedNode{entry: e}
@@ -65,6 +74,7 @@
 	for i := range instances {
 		set := crowdSettings()
 		set.Self, set.Instances, set.WarmUp = i, instances, 8*time.Second
+		change(&set)
 		d.classes = set.Classes
 		h := &bedHost{bed: d, tries: map[string]*bedTry{}, open: map[string]bool{}}
 		var err error
@@ -85,16 +95,18 @@
 	return &d.seconds[n]
 }
 
-// arrivals lets requests come at random, at each instance as many as at the others, until the day is over.
+// arrivals lets requests come at random until the day is over.
 func (d *bed) arrivals(perSecond float64, until time.Duration) {
-	n := 0
 	var next func()
 	next = func() {
 		if d.now-d.from >= until {
 			return
 		}
-		n++
-		h, id := d.hosts[d.rng.IntN(len(d.hosts))], fmt.Sprint("r", n)
+		d.came++
+		h, id := d.hosts[d.rng.IntN(len(d.hosts))], fmt.Sprint("r", d.came)
+		if d.busy != nil {
+			h = d.hosts[d.busy[d.rng.IntN(len(d.busy))]]
+		}
 		q := &bedTry{came: d.now, class: d.rng.IntN(2)}
 		h.tries[id] = q
 		d.second().asked++
@@ -147,9 +159,9 @@
 	}
 	h.open[server] = true
 	n.sent = append(n.sent, d.now)
-	work := time.Duration(d.rng.ExpFloat64() * float64(bedWork) / bedCores / n.share(d.now, h.b.set.WarmUp, h.b.set.ColdFrom))
+	work := time.Duration(d.rng.ExpFloat64() * float64(d.work) / bedCores / n.share(d.now, h.b.set.WarmUp, h.b.set.ColdFrom))
 	n.free = max(n.free, d.now) + work
-	if wait := n.free - d.now + 2*bedWork; wait < timeout {
+	if wait := n.free - d.now + 2*d.work; wait < timeout {
 		end(wait, OK)
 	} else {
 		end(timeout, TimedOut)
@@ -158,8 +170,8 @@
 
 func (h *bedHost) ended(id string, attempt int, o Outcome, took time.Duration) {
 	q := h.tries[id]
-	if q.attempts[attempt] {
-		return
+	if q == nil || q.attempts[attempt] {
+		return // of an instance that has begun anew, or called off
 	}
 	q.attempts[attempt] = true
 	if o == OK && !q.done {
@@ -177,7 +189,12 @@
 	h.bed.in(0, func() { h.ended(id, attempt, Canceled, 0) })
 }
 func (h *bedHost) SetTimer(wait time.Duration, token uint64) {
-	h.bed.in(wait, func() { h.b.Timer(h.bed.now, token) })
+	b := h.b
+	h.bed.in(wait, func() {
+		if h.b == b {
+			b.Timer(h.bed.now, token)
+		}
+	})
 }
 func (h *bedHost) Watch()     {}
 func (h *bedHost) Log(string) {}
@@ -192,7 +209,14 @@
 
 // overBudget is the most that a cold server was sent in any window of the rule, over what the rule allows.
 func (d *bed) overBudget(set Settings) (worst float64) {
-	perSecond := bedCores / bedWork.Seconds()
+	d.coldWindows(set, func(count int, allowed float64) { worst = max(worst, float64(count)/allowed) })
+	return worst
+}
+
+// coldWindows tells of each window of the rule that begins with a send to a cold server: how much was sent in it, and how
+// much the rule allows.
+func (d *bed) coldWindows(set Settings, tell func(count int, allowed float64)) {
+	perSecond := bedCores / d.work.Seconds()
 	for _, n := range d.nodes {
 		for i, first := range n.sent {
 			if n.entry.Boot == 0 || first < n.entry.Boot || first > n.entry.Boot+set.WarmUp {
@@ -204,11 +228,9 @@
 					count++
 				}
 			}
-			allowed := set.FallMultiple * n.share(first, set.WarmUp, set.ColdFrom) * perSecond * set.FallTime.Seconds()
-			worst = max(worst, float64(count)/allowed)
+			tell(count, set.FallMultiple*n.share(first, set.WarmUp, set.ColdFrom)*perSecond*set.FallTime.Seconds())
 		}
 	}
-	return worst
 }
 
 // bedSizes are fleets: many proxies with little traffic each, and few. wasted is the most that may go to lost servers for
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// coldRoom of the multiple that fells a cold server is used, and no less than what it is sure to serve.
-const coldRoom = 0.5
+// coldRoom of the multiple that fells a cold server is used, and no less than what it is sure to serve;
+// coldLeast sends in FallTime are borne by any, and used where nobody tells the pace.
+const coldRoom, coldLeast = 0.5, 1.0
 
 // coldShare is the part of its full capacity that a server can be counted on to have.
 func (b *Balancer) coldShare(now time.Duration, s *server) float64 {
@@ -20,9 +21,8 @@
 
 // coldAllows keeps a cold server standing. All instances together may send it FallMultiple times its present
 // capacity; each keeps to its own part of coldRoom of that: what a warm member serves it on average, times
-// the cold share. What is sent would be no guide: under overload it is a multiple of what servers can do.
-// Only the slice's own members are warmed up: as a spare, a cold server would hear from instances that its
-// budget does not count on.
+// the cold share (what is sent would be no guide under overload). Only the slice's own members are warmed up:
+// as a spare, a cold server would hear from instances that its budget does not count on.
 func (b *Balancer) coldAllows(now time.Duration, s *server) bool {
 	share := b.coldShare(now, s)
 	if share >= 1 {
@@ -31,15 +31,16 @@
 	if !slices.Contains(b.order[:b.slice], s) {
 		return false
 	}
-	perSecond := max(coldRoom*b.set.FallMultiple, 1) * b.part * b.warm.At(now, rateMemory) * share
+	perSecond := max(coldRoom*b.set.FallMultiple, 1) * b.warm.At(now, rateMemory) * share
+	holders := max(float64(b.numbers[1]*b.slice)/float64(len(b.order)), 1)
+	perSecond = b.part * max(perSecond, coldLeast/max(b.set.FallTime.Seconds(), minCost)/holders)
 	s.coldTokens = min(s.coldTokens+perSecond*(now-s.coldAt).Seconds(), 1)
 	s.coldAt = now
 	return s.coldTokens >= 1
 }
 
 // notePerWarm counts an answer for the rate of one warm member. To divide by all members would cut the cold
-// ones' budget with each that is gone, just when they are wanted; to divide by the warm alone would give all
-// of them what the last one serves.
+// ones' budget with each that is gone; to divide by the warm alone would give all what the last one serves.
 func (b *Balancer) notePerWarm(now time.Duration) {
 	b.warm.Add(now, 1/max(b.standing(now, b.active), 1), rateMemory)
 }
--- a/balance/hand.go
+++ b/balance/hand.go
@@ -33,8 +33,8 @@
 	delete(b.banned, id)
 	if s := b.servers[id]; s != nil {
 		s.banned, s.resumed = false, now
-		// One send is free: at a low rate it would take long to earn, and the server is to be in use soon.
-		s.coldAt, s.coldTokens = now, 1
+		// A part of a send is free, at random: all instances may put it back at once, and must not meet.
+		s.coldAt, s.coldTokens = now, b.random()
 		s.forgive()
 		s.slow = 0
 		b.host.Log("put back by hand: " + id)
--- a/balance/hand_test.go
+++ b/balance/hand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -10,14 +11,18 @@
 func (f *fake) serve(prefix string, n int, gap time.Duration) map[string]int {
 	f.t.Helper()
 	went := map[string]int{}
+	var open []string
 	for i := range n {
 		f.advance(f.now + gap)
-		id := fmt.Sprint(prefix, i)
-		f.submit(id, 0)
-		if to := f.sent[id]; len(to) == 1 {
-			went[to[0]]++
-			f.result(id, 0, OK)
-		}
+		open = append(open, fmt.Sprint(prefix, i))
+		f.submit(open[len(open)-1], 0)
+		open = slices.DeleteFunc(open, func(id string) bool { // some were held and go out later
+			if to := f.sent[id]; len(to) == 1 {
+				went[to[0]]++
+				f.result(id, 0, OK)
+			}
+			return f.ended[id] || f.final[id] != ""
+		})
 	}
 	return went
 }
