A caller that sends on and leaves is told by its end, whatever it sent before

Seen, by TestCallerLeavesBehindFurtherBytes: a caller sends a byte, half a head, a request or 400 requests behind its open one, and closes, half-closes or resets.

Change: callers.Conn reads ahead while a request is open and hands the end on; 16 KiB are kept for later, more is dropped and with it the connection once the open request is answered, since the end of a caller that has gone cannot be told before all is read.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -72,6 +74,8 @@
 	net.Conn
 	set     *Set
 	framing framing.Follower // of what it sends; used by the one that reads
+	ahead   []byte           // read from the socket and not handed on yet; the same
+	flooded bool             // more came than is read ahead; the same
 	raw     syscall.RawConn  // nil where there is no socket
 
 	// Guarded by set.mu.
@@ -188,6 +192,7 @@
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
 		c.forget(k)
+		k.state = state
 		return
 	}
 	if _, open := c.open[k]; !open || k.state == state {
@@ -251,7 +256,7 @@
 // Read notes the first byte that is read, not only the whole head that net/http tells of: a request that has been read
 // must not be taken for one that the caller may send again.
 func (k *Conn) Read(b []byte) (int, error) {
-	n, err := k.Conn.Read(b)
+	n, err := k.read(b)
 	if n == 0 {
 		return n, err
 	}
@@ -272,6 +277,63 @@
 	return n, err
 }
 
+// aheadMost is how much of what a caller sends behind an open request is kept for later.
+const aheadMost = 16 << 10
+
+// read hands on what has been read ahead, and else reads. While a request is open, net/http reads a single byte, and by that learns
+// that a caller has gone; a caller that sends the next request first, and goes then, would be served on.
+func (k *Conn) read(b []byte) (int, error) {
+	if len(k.ahead) > 0 {
+		n := copy(b, k.ahead)
+		k.ahead = k.ahead[n:]
+		return n, nil
+	}
+	if k.flooded {
+		return 0, io.EOF
+	}
+	if len(b) != 1 || !k.serving() {
+		return k.Conn.Read(b)
+	}
+	if err := k.readAhead(); err != nil {
+		return 0, err
+	}
+	n := copy(b, k.ahead)
+	k.ahead = k.ahead[n:]
+	return n, nil
+}
+
+// serving says whether a request is open that has been read whole.
+func (k *Conn) serving() bool {
+	k.set.mu.Lock()
+	defer k.set.mu.Unlock()
+	return k.state == http.StateActive
+}
+
+// readAhead reads until the caller's end, which it returns, or until the request is answered and net/http breaks the read off. What
+// comes beyond aheadMost is dropped, and with it the connection, once the open request is answered: no caller that waits for answers
+// sends as much, and one that has gone cannot be told before all is read.
+//
+// It guards against work for callers that sent on and went. It would harm who sends over aheadMost of further requests at once and
+// then does not send those again of which the connection's end leaves no answer.
+func (k *Conn) readAhead() error {
+	var piece [4 << 10]byte
+	for {
+		n, err := k.Conn.Read(piece[:])
+		if room := aheadMost - len(k.ahead); n > room {
+			n, k.flooded = room, true
+		}
+		k.ahead = append(k.ahead, piece[:n]...)
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded) && len(k.ahead) > 0:
+			return nil
+		default:
+			k.ahead = nil // nobody waits for what it asks
+			return err
+		}
+	}
+}
+
 // Gone says whether the caller has ended its sending or its connection, as the kernel knows it, whatever has been read so far. It
 // does not block; where the kernel does not say, it is no.
 func (k *Conn) Gone() (gone bool) {
--- /dev/null
+++ b/internal/proxy/leaving_test.go
@@ -0,0 +1,129 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// ways are how a caller may leave.
+var ways = map[string]func(*testCaller){
+	"closes":      func(c *testCaller) { c.Close() },
+	"half-closes": func(c *testCaller) { c.Conn.(*net.TCPConn).CloseWrite() },
+	"resets":      func(c *testCaller) { c.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
+}
+
+// TestCallerLeavesBehindFurtherBytes: a caller sends more behind its open request and leaves. net/http reads one byte of that
+// and would not learn of the end behind it. The attempt that is out is called off, and nothing of the rest is sent on.
+func TestCallerLeavesBehindFurtherBytes(t *testing.T) {
+	t.Parallel()
+	var many strings.Builder
+	for n := range 400 {
+		many.WriteString(head(fmt.Sprint("flood", n)))
+	}
+	for what, more := range map[string]string{
+		"nothing": "", "a byte": "G", "half a head": head("next")[:40], "a request": head("next"), "two requests": head("next") + head("third"),
+		"a flood": many.String(),
+	} {
+		for way, leave := range ways {
+			t.Run(way+" behind "+what, func(t *testing.T) {
+				b := newBackend(t, "127.0.0.1:0", func(string) string { return "" })
+				g := newRig(t, nil, entry("s1", b.address, "up"))
+				c := g.dial().send(head("open"))
+				if id := await(t, "the request", b.requests); id != "open" {
+					t.Fatal(id)
+				}
+				c.send(more)
+				leave(c)
+				await(t, "the end of the attempt", b.gone)
+				for g.callers.Len() > 0 { // until the connection is done with
+					time.Sleep(time.Millisecond)
+				}
+				if n := len(b.requests); n != 0 {
+					t.Errorf("%d requests sent for a caller that has gone, the first %s", n, <-b.requests)
+				}
+			})
+		}
+	}
+}
+
+// TestFurtherRequestsAreServedInTurn: they were read ahead while the first was open, and are not lost by it.
+func TestFurtherRequestsAreServedInTurn(t *testing.T) {
+	t.Parallel()
+	hold := make(chan struct{})
+	b := newBackend(t, "127.0.0.1:0", func(id string) string {
+		if id == "first" {
+			<-hold
+		}
+		return whole(id)
+	})
+	g := newRig(t, nil, entry("s1", b.address, "up"))
+	c := g.dial().send(head("first"))
+	await(t, "the first request", b.requests)
+	c.send(head("second")[:30])
+	c.send(head("second")[30:] + head("third"))
+	close(hold)
+	for _, id := range []string{"first", "second", "third"} {
+		if status, text := c.answer(); status != 200 || text != id {
+			t.Fatalf("%s: %d %q", id, status, text)
+		}
+	}
+	for _, id := range []string{"second", "third"} {
+		if got := await(t, id, b.requests); got != id {
+			t.Errorf("%s was sent on in place of %s", got, id)
+		}
+	}
+}
+
+// TestAFloodBehindARequest: more comes behind an open request than is kept. That one is answered, and then the connection
+// ends; the caller knows by that to send the others again.
+func TestAFloodBehindARequest(t *testing.T) {
+	t.Parallel()
+	hold := make(chan struct{})
+	b := newBackend(t, "127.0.0.1:0", func(id string) string {
+		if id == "first" {
+			<-hold
+		}
+		return whole(id)
+	})
+	g := newRig(t, nil, entry("s1", b.address, "up"))
+	c := g.dial().send(head("first"))
+	await(t, "the first request", b.requests)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for n := range 4000 {
+			if _, err := c.Write([]byte(head(fmt.Sprint("more", n)))); err != nil {
+				return
+			}
+		}
+	}()
+	await(t, "the end of sending, which needs all to be read", sent)
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for { // it holds a hundred
+			select {
+			case <-b.requests:
+			case <-done:
+				return
+			}
+		}
+	}()
+	close(hold)
+	answers := 0
+	for {
+		status, text := c.answer()
+		if status == 0 {
+			break
+		}
+		if answers++; answers == 1 && (status != 200 || text != "first") {
+			t.Fatalf("%d %q", status, text)
+		}
+	}
+	if answers < 1 || answers > 200 {
+		t.Errorf("%d answers, want the first's and those of what was kept", answers)
+	}
+}
