An answer without a length is whole at its connection's orderly end, and not at a reset

Change: such an answer is read to the connection's end, as RFC 9112 has it. Nothing of it is passed on before that while it can be kept (64 KiB): noise behind a head has no length either, and no end. TestAnswersThatEndWithTheirConnection: ended and reset, short and long; the answers of an unsafe class that ended in order got 502 before. That a head without a length and silence behind it is a failed attempt is tested as before.

--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -178,13 +178,20 @@
 const streamAfter = 150 * time.Millisecond
 
 // readAnswer reads a whole answer, or the beginning of one that is too long or too slow to be kept. One that is cut
-// must not pass for whole, so its end has to be told by a length or by chunks, and not by both; one that is longer
-// than the protocol knows is noise.
+// must not pass for whole, so its end has to be told by a length or by chunks, and not by both, or else by the
+// connection's orderly end (RFC 9112, section 6.3): a reset is none. One that is longer than the protocol knows is noise.
 func (c *conn) readAnswer(resp *http.Response) (text []byte, whole bool, err error) {
 	switch {
 	case resp.ContentLength > body.MaxBytes:
 		return nil, false, body.ErrTooLarge
-	case resp.ContentLength < 0 && (resp.TransferEncoding == nil || !c.framing.Chunked()):
+	case resp.ContentLength < 0 && resp.TransferEncoding == nil:
+		// Nothing of it is passed on before its end while it can be kept: noise behind a head looks the same, and has none.
+		text, whole, err = body.ReadAtMost(resp.Body, body.WholeBytes, func() bool { return true })
+		if err != nil {
+			return nil, false, fmt.Errorf("answer: %w", err)
+		}
+		return text, whole, nil
+	case resp.ContentLength < 0 && !c.framing.Chunked():
 		return nil, false, errFraming
 	case resp.ContentLength > body.WholeBytes:
 		text = make([]byte, firstBytes)
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -1,8 +1,13 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 )
 
@@ -86,3 +91,77 @@
 	}
 	await(t, "the connection to the new server", b.conns)
 }
+
+// TestAnswersThatEndWithTheirConnection: without a length, the orderly end of the connection is that of the answer, and a
+// reset is none. The answer is served whole, also of a request that must not run twice, or the caller can tell.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	t.Parallel()
+	long := strings.Repeat("0123456789", 20<<10)
+	for name, c := range map[string]struct {
+		text     string
+		reset    bool
+		status   int
+		complete bool
+	}{
+		"short, ended":         {"short", false, 200, true},
+		"nothing, ended":       {"", false, 200, true},
+		"short, reset":         {"short", true, 502, true}, // the proxy's own word
+		"long, ended":          {long, false, 200, true},
+		"long, reset":          {long, true, 200, false}, // it was being passed on
+		"long, reset at first": {long[:60<<10], true, 502, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			end := make(chan struct{})
+			passedOn := len(c.text) > 64<<10 // its head comes before its end
+			if !passedOn {
+				close(end)
+			}
+			address := endingServer(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+c.text, c.reset, end)
+			g := newRig(t, nil, entry("s1", address, "up"))
+			resp, err := http.ReadResponse(g.dial().send(strings.Replace(strings.Replace(head("a"), "search", "once", 1), "GET", "POST", 1)).r, nil)
+			if passedOn {
+				close(end)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, err := io.ReadAll(resp.Body)
+			if resp.StatusCode != c.status || (err == nil) != c.complete || c.status == 200 && c.complete && string(text) != c.text {
+				t.Errorf("%d, %d bytes, %v; want %d, complete %t", resp.StatusCode, len(text), err, c.status, c.complete)
+			}
+		})
+	}
+}
+
+// endingServer answers one request on each connection, and ends that in order or by a reset.
+// A reset waits for end.
+func endingServer(t *testing.T, answer string, reset bool, end <-chan struct{}) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving sync.WaitGroup
+	t.Cleanup(func() { l.Close(); serving.Wait() })
+	serving.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				io.WriteString(c, answer)
+				if reset {
+					<-end
+					c.(*net.TCPConn).SetLinger(0)
+				}
+			})
+		}
+	})
+	return l.Addr().String()
+}
