What is read as its connection is shut is not sent on, and a last answer survives unread bytes

Seen, by TestRequestReadAsItsConnectionIsShut, which holds a request between net/http's reading of its head and the handler, and shuts its connection there, as room for others or the end of a restart may: the handler went on, and the request was sent on for a caller that had been told by the close to send it again. host.awaited asked the kernel of a descriptor that was closed here, and that says nothing. Ruled out: bytes read after the close (callers.Conn.Read drops those).

Change: Conn.Gone goes by the connection's own end as well. At the end of a restart, between the last look and http.Server.Close, callers.Set.Shut takes nothing more in and ends what has no request open; who is still being answered then has 50 ms. A connection that is closed over unread bytes ends its sending, reads on for 200 ms and closes then (16 at most at a time): a close over them is a reset, which takes an answer along that its caller has not read (TestLastAnswerOverUnreadBytes). SIGTERM in every state of a request, twice, and with SIGHUP: TestTermMeetsRequestsInEveryState, TestTermAtOnceAndTwice; those two were no faults.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -44,6 +44,10 @@
 	many    [kinds]int // how many are in each
 
 	parking *Parking // nil where none is parked; set before the first connection
+
+	shut      bool // no connection is taken in, and nothing more is read
+	lingering int
+	lingers   sync.WaitGroup
 }
 
 // kind is what a connection on which no request is open is known for.
@@ -115,7 +119,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.endFirst([]kind{parkedOnce, once}, mostAtOnce, func(k *Conn) bool { return now.Sub(k.since) >= c.onceIdle })
-	if len(c.open) >= c.soft && !c.makeRoom(now) && len(c.open) >= c.hard {
+	if c.shut || len(c.open) >= c.soft && !c.makeRoom(now) && len(c.open) >= c.hard {
 		return nil
 	}
 	k := &Conn{Conn: conn, raw: raw(conn), set: c, kind: busy}
@@ -239,6 +243,19 @@
 	}
 }
 
+// Shut takes no connection in any more and closes those on which no request is open, also where one has been read in part or is just
+// being handed on: nothing more is read, so callers may send what they get no answer for again. It counts the others.
+func (c *Set) Shut() (busy int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shut = true
+	c.endFirst([]kind{silent, once, idling, partial, parkedOnce, parkedIdle}, len(c.open), func(*Conn) bool { return true })
+	return len(c.open)
+}
+
+// Wait returns once no connection lingers any more.
+func (c *Set) Wait() { c.lingers.Wait() }
+
 // mostAtOnce bounds the connections that are closed with the lock held, for which all others wait.
 const mostAtOnce = 256
 
@@ -334,11 +351,15 @@
 	}
 }
 
-// Gone says whether the caller has ended its sending or its connection, as the kernel knows it, whatever has been read so far. It
-// does not block; where the kernel does not say, it is no.
+// Gone says whether the caller has ended its sending or its connection, as the kernel knows it, whatever has been read so far, or
+// whether the connection was closed here between the reading of its request and now. It does not block; where the kernel does not
+// say, it is no.
 func (k *Conn) Gone() (gone bool) {
-	if k.raw == nil {
-		return false
+	k.set.mu.Lock()
+	gone = k.ended
+	k.set.mu.Unlock()
+	if gone || k.raw == nil {
+		return gone
 	}
 	k.raw.Control(func(fd uintptr) {
 		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
@@ -348,12 +369,58 @@
 	return gone
 }
 
-// Close parks a connection whose read was broken off for that, and closes any other.
+// Close parks a connection whose read was broken off for that, and closes any other. Where bytes stand that nobody has read, it
+// lingers: a close over them is a reset, which takes with it what the caller has not read of its last answer.
 func (k *Conn) Close() error {
 	if p := k.set.parking; p != nil && p.take(k) {
 		return nil
 	}
-	return k.Conn.Close()
+	if !k.unread() || !k.set.linger(k) {
+		return k.Conn.Close()
+	}
+	return nil
+}
+
+const (
+	// lingerTime is how long a connection that is closed over unread bytes is read on, and lingerMost how much.
+	lingerTime, lingerMost = 200 * time.Millisecond, 256 << 10
+	// mostLingering do so at one time; each holds a descriptor.
+	mostLingering = 16
+)
+
+// unread says whether bytes stand in the socket.
+func (k *Conn) unread() (some bool) {
+	if k.raw == nil {
+		return false
+	}
+	k.raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// linger ends what is sent to a caller, and closes its connection once it has ended its side too or lingerTime is over. Nothing that
+// is read meanwhile is looked at. It returns false where enough others do so.
+func (c *Set) linger(k *Conn) bool {
+	half, ok := k.Conn.(interface{ CloseWrite() error })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !ok || c.shut || k.ended || c.lingering >= min(mostLingering, c.hard-c.soft) {
+		return false
+	}
+	k.ended = true
+	c.lingering++
+	c.lingers.Go(func() {
+		half.CloseWrite()
+		k.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		io.Copy(io.Discard, io.LimitReader(k.Conn, lingerMost))
+		k.Conn.Close()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.lingering--
+	})
+	return true
 }
 
 // CloseWrite lets net/http end its sending first where it leaves unread what a caller sent: a close alone would
--- /dev/null
+++ b/internal/proxy/ending_test.go
@@ -0,0 +1,203 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// served runs a proxy as its process does: SIGTERM is what term does, and over is closed once it has ended.
+func served(t *testing.T, change func(*Config), hosts ...string) (g *rig, term func(), over chan struct{}) {
+	t.Helper()
+	registry := newRegistry(t)
+	c := rigConfig(registry.address, []byte(list(1, true, hosts...)))
+	if change != nil {
+		change(&c)
+	}
+	p, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	over = make(chan struct{})
+	go func() {
+		defer close(over)
+		if err := p.Serve(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-over })
+	return &rig{t, p, registry, p.Addr().String()}, cancel, over
+}
+
+// brief is a head whose caller waits for 800 ms.
+func brief(id string) string { return strings.Replace(head(id), "9000", "800", 1) }
+
+// TestTermMeetsRequestsInEveryState: at SIGTERM a head is half read, a body is arriving, a request waits for a place, one for a
+// connection, one for a backend that hangs, and one is between two requests. Each that has been taken gets one answer before
+// the process ends, which is before SIGKILL may come; new connections are served for 0.4 s, and nothing is sent on at the end.
+func TestTermMeetsRequestsInEveryState(t *testing.T) {
+	t.Parallel()
+	hang := newBackend(t, "127.0.0.1:0", func(id string) string {
+		if strings.HasPrefix(id, "hangs") {
+			return ""
+		}
+		return whole(id)
+	})
+	g, term, over := served(t, func(c *Config) {
+		for n := range c.Settings.Balancer.Classes {
+			c.Settings.Balancer.Classes[n].GiveUp = 800 * time.Millisecond
+		}
+	}, entry("s1", hang.address, "up"))
+	between := g.dial().send(brief("between"))
+	if status, _ := between.answer(); status != 200 {
+		t.Fatal(status)
+	}
+	await(t, "the first request", hang.requests)
+	hanging := g.dial().send(brief("hangs"))
+	await(t, "the one that hangs", hang.requests)
+	text := brief("half")
+	half := g.dial().send(text[:len(text)-10])
+	post := strings.Replace(strings.Replace(brief("body"), "search", "hold", 1), "GET", "POST", 1)
+	post = strings.Replace(post, "\r\n\r\n", "\r\nIdempotency-Key: k\r\nContent-Length: 8\r\n\r\n", 1)
+	body := g.dial().send(post + "half")
+	for g.callers.States()["busy"] < 2 || g.callers.States()["partial"] < 1 { // the hanging one and the body's, and the half
+		time.Sleep(time.Millisecond)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go hang.drain(done)
+	began := time.Now()
+	term()
+	for !g.restart.Begun() {
+		time.Sleep(time.Millisecond)
+	}
+	// Taken after SIGTERM: on connections old and new.
+	if status, got := between.send(brief("again")).answer(); status != 200 || got != "again" {
+		t.Errorf("between two: %d %q", status, got)
+	}
+	if status, got := half.send(text[len(text)-10:]).answer(); status != 200 || got != "half" {
+		t.Errorf("half a head: %d %q", status, got)
+	}
+	if status, got := body.send("body").answer(); status != 200 || got != "body" {
+		t.Errorf("half a body: %d %q", status, got)
+	}
+	for time.Since(began) < 400*time.Millisecond {
+		c := g.dial()
+		if status, got := c.send(brief("new")).answer(); status != 200 || got != "new" {
+			t.Errorf("on a new connection after %v: %d %q", time.Since(began), status, got)
+		}
+		c.Close()
+	}
+	if status, _ := hanging.answer(); status != 502 {
+		t.Errorf("the one that hangs: %d", status)
+	}
+	await(t, "the end", over)
+	if took := time.Since(began); took > 800*time.Millisecond+700*time.Millisecond {
+		t.Errorf("ended after %v, SIGKILL may come before", took)
+	}
+}
+
+// TestTermAtOnceAndTwice: SIGTERM before anything has come, and again while it ends.
+func TestTermAtOnceAndTwice(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "127.0.0.1:0", whole)
+	g, term, over := served(t, nil, entry("s1", b.address, "up"))
+	term()
+	term()
+	g.MoveDiscovery(newRegistry(t).address) // SIGHUP
+	c, err := net.Dial("tcp", g.address)
+	if err == nil { // it may have ended
+		io.WriteString(c, brief("late"))
+		c.SetDeadline(time.Now().Add(patient))
+		if got, err := io.ReadAll(c); err == nil && len(got) == 0 && len(b.requests) > 0 {
+			t.Error("sent on and not answered")
+		}
+		c.Close()
+	}
+	await(t, "the end", over)
+}
+
+// TestRequestReadAsItsConnectionIsShut: the proxy has read a whole head, and before that is handed on closes the connection, as at
+// the end of a restart or for room. Its caller sends it again, so it must not be sent on here.
+func TestRequestReadAsItsConnectionIsShut(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "127.0.0.1:0", whole)
+	read, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	g := newRigWith(t, nil, func(p *Proxy) {
+		track := p.http.ConnState
+		p.http.ConnState = func(c net.Conn, s http.ConnState) {
+			if s == http.StateActive { // the head has come, and no handler has it yet
+				once.Do(func() { close(read) })
+				<-release
+			}
+			track(c, s)
+		}
+	}, entry("s1", b.address, "up"))
+	c := g.dial().send(head("a"))
+	await(t, "the head", read)
+	if busy := g.callers.Shut(); busy != 0 {
+		t.Fatalf("%d connections are busy", busy)
+	}
+	close(release)
+	if status, _ := c.answer(); status != 0 {
+		t.Errorf("answered %d on a connection that was shut", status)
+	}
+	for n := range 2 { // the other is refused
+		if n == 1 {
+			if status, _ := g.dial().send(head("b")).answer(); status != 0 {
+				t.Errorf("answered %d after the end", status)
+			}
+		}
+	}
+	g.Close() // waits for all that is out
+	if n := len(b.requests); n != 0 {
+		t.Errorf("%d requests were sent on", n)
+	}
+}
+
+// TestLastAnswerOverUnreadBytes: an answer that ends its connection is larger than what the sockets hold, its caller reads it
+// late, and half a head stands behind its request that nobody reads. The answer arrives whole.
+func TestLastAnswerOverUnreadBytes(t *testing.T) {
+	t.Parallel()
+	const size = 60 << 10
+	b := newBackend(t, "127.0.0.1:0", func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	})
+	ended := make(chan struct{})
+	g := newRigWith(t, nil, func(p *Proxy) {
+		p.restart.HandOver() // so that each answer ends its connection
+		track := p.http.ConnState
+		p.http.ConnState = func(c net.Conn, s http.ConnState) {
+			track(c, s)
+			if s == http.StateClosed {
+				close(ended)
+			}
+		}
+	}, entry("s1", b.address, "up"))
+	c := g.dial()
+	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	// A chunked request's end is not followed by what is read ahead.
+	post := strings.Replace(strings.Replace(head("a"), "search", "once", 1), "GET", "POST", 1)
+	c.send(post)
+	await(t, "the request", b.requests)
+	go func() {
+		for range 64 {
+			if _, err := io.WriteString(c.Conn, head("next")[:60]); err != nil {
+				return
+			}
+		}
+	}()
+	await(t, "the end of the connection here", ended)
+	status, got := c.answer()
+	if status != 200 || len(got) != size {
+		t.Errorf("%d with %d of %d bytes", status, len(got), size)
+	}
+}
--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -103,15 +103,7 @@
 	await(t, "the end of sending, which needs all to be read", sent)
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
-	go func() {
-		for { // it holds a hundred
-			select {
-			case <-b.requests:
-			case <-done:
-				return
-			}
-		}
-	}()
+	go b.drain(done)
 	close(hold)
 	answers := 0
 	for {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -336,6 +336,9 @@
 // Addr is where the proxy listens.
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
+// lastAnswers is how long answers that are being written at the very end may take; all are due before it.
+const lastAnswers = 50 * time.Millisecond
+
 // acceptQuiet without a new connection shows that no more are coming, on a machine that runs late too.
 const acceptQuiet = 50 * time.Millisecond
 
@@ -382,6 +385,10 @@
 	for p.channels != nil && p.channels.Len() > 0 && time.Since(begun) < p.channels.LeaveWithin() {
 		time.Sleep(acceptQuiet)
 	}
+	// A request that is read between here and the end of the server would have nobody to answer it.
+	for shut := time.Now(); p.callers.Shut() > 0 && time.Since(shut) < lastAnswers; {
+		time.Sleep(lastAnswers / 10)
+	}
 	if err := p.http.Close(); err != nil {
 		return err
 	}
@@ -397,8 +404,10 @@
 		p.recovery.Close() // it writes what is known a last time
 	}
 	p.stop()
+	p.callers.Shut()
 	p.http.Close()
 	p.listener.Close()
+	p.callers.Wait()
 	if p.console != nil {
 		p.console.Close()
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -100,6 +100,17 @@
 	}
 }
 
+// drain takes the requests off their channel, which holds a hundred, until done.
+func (b *backend) drain(done <-chan struct{}) {
+	for {
+		select {
+		case <-b.requests:
+		case <-done:
+			return
+		}
+	}
+}
+
 // whole is a sound answer that names the request it belongs to.
 func whole(id string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
@@ -174,6 +185,12 @@
 
 // newRig starts a proxy that knows the given hosts, with settings that change may alter.
 func newRig(t *testing.T, change func(*Config), hosts ...string) *rig {
+	t.Helper()
+	return newRigWith(t, change, func(*Proxy) {}, hosts...)
+}
+
+// newRigWith is newRig with a look at the proxy before it serves.
+func newRigWith(t *testing.T, change func(*Config), before func(*Proxy), hosts ...string) *rig {
 	t.Helper()
 	g := newRegistry(t)
 	c := rigConfig(g.address, json.RawMessage(list(1, true, hosts...)))
@@ -184,6 +201,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	before(p)
 	done := make(chan error, 1)
 	go func() { done <- p.http.Serve(p.listener) }()
 	t.Cleanup(func() {
