Ready means that there is a server to send to now

Seen in reading: host.Instance.Ready went by whether a list with servers was ever held; a proxy whose list has only servers that drain, or none, was ready and could serve nothing. TestReadyMeansThatItCanServe fails on the code before at the steps with a list that drains and an empty one. Change: it asks for the addresses in service at the moment.

--- a/internal/host/crossing_test.go
+++ b/internal/host/crossing_test.go
@@ -287,3 +287,29 @@
 		t.Errorf("%d written to the one that drains, %d to the other", drained.took.Load(), other.took.Load())
 	}
 }
+
+// TestReadyMeansThatItCanServe: with no list, with one of servers that all drain or are gone, and again once one is there.
+func TestReadyMeansThatItCanServe(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := newCrossing(t, class(balance.Free, 0))
+	defer c.close()
+	up := []balance.Entry{{ID: "a"}}
+	for n, step := range []struct {
+		kind    balance.ListKind
+		entries []balance.Entry
+		ready   bool
+	}{
+		{balance.Cached, nil, false},
+		{balance.Full, up, true},
+		{balance.Delta, []balance.Entry{{ID: "a", State: balance.Draining}}, false},
+		{balance.Delta, up, true},
+		{balance.Full, nil, false},
+		{balance.ListFailed, nil, false},
+		{balance.Full, up, true},
+	} {
+		c.Update(step.kind, step.entries, map[string]string{"a": "127.0.0.1:1"})
+		if got := c.Ready(); got != step.ready {
+			t.Errorf("step %d: ready %t, want %t", n, got, step.ready)
+		}
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -87,7 +87,6 @@
 	requests map[string]*Request
 	lastID   uint64
 	address  map[string]backends.Endpoint // of each server that the list has in service
-	listed   bool                         // a list with servers is held
 	// When a listed server was first seen to drain, and when one that is out was taken out by hand; for people.
 	drains, byHand map[string]time.Duration
 	agreed         map[string]bool // out by agreement; true once the balancer knows of it
@@ -481,7 +480,6 @@
 		}
 	}
 	i.noteDrains(kind, entries)
-	i.listed = i.listed || len(i.address) > 0
 	i.traceList(kind, entries)
 	i.balancer.Update(i.now(), kind, entries)
 	i.applyAgreed(i.now())
@@ -605,7 +603,6 @@
 			i.address[s.Entry.ID] = backends.Endpoint{Server: s.Entry.ID, Address: address, Boot: s.Entry.Boot}
 		}
 	}
-	i.listed = len(i.address) > 0
 	i.balancer.Adopt(i.now(), c)
 }
 
@@ -751,7 +748,7 @@
 func (i *Instance) Ready() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.listed && (i.door == nil || i.door.Ready())
+	return len(i.address) > 0 && (i.door == nil || i.door.Ready())
 }
 
 // Send starts an attempt.
