SIGTERM before a proxy is ready ends it in order

Seen, by TestTermBeforeReady, which sends the signal while the program reads its configuration: the process was killed by it, and with it what stood in the listener's queue. internal/cli run caught SIGTERM only once everything had started. It does so before.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -62,17 +62,17 @@
 }
 
 func (e *env) run(ctx context.Context, file string) error {
-	// From here on, for a SIGHUP that nobody waits for ends the process.
+	// From here on, for a signal that nobody waits for ends the process, and with it what stands in the listener's queue.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 
 	r, err := e.start(file)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	var background sync.WaitGroup
 	defer background.Wait()
 	reloading, endReloading := context.WithCancel(ctx)
--- a/internal/cli/run_test.go
+++ b/internal/cli/run_test.go
@@ -200,3 +200,40 @@
 	await(t, "a call to the second's discovery", secondCalls)
 	end(t, done)
 }
+
+// TestTermBeforeReady sends SIGTERM while the program still reads its configuration: it starts, answers what has come by then,
+// and ends in order. One that is not caught would end this process.
+func TestTermBeforeReady(t *testing.T) {
+	registry, _ := newRegistry(t)
+	folder := t.TempDir()
+	whole, slow := filepath.Join(folder, "whole.json"), filepath.Join(folder, "config.json")
+	writeConfig(t, whole, registry)
+	text, err := os.ReadFile(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(slow, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- newEnv(map[string]string{"RELAY_CONFIG": slow}, io.Discard).run(t.Context(), "") }()
+	w, err := os.OpenFile(slow, os.O_WRONLY, 0) // once the program has opened it
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Write(text); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patient):
+		t.Fatal("it does not end")
+	}
+}
