--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -263,7 +263,7 @@
 func (r *round) target(earlier int) (url string, overdue, wait time.Duration) {
 	switch {
 	case r.from < 0:
-		return r.url, overlap, callWait // answered at once with the whole list
+		return r.url, callWait, callWait + overlap // answered at once with the whole list, once it is its turn
 	case earlier == 0:
 		return fmt.Sprintf("%s?from=%d&hold_ms=%d", r.url, r.from, r.hold.Milliseconds()), r.hold + r.slack, r.hold + callWait
 	}
--- /dev/null
+++ b/internal/proxy/crowding_test.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+)
+
+// TestIdleCallersFillTheirShareWhileDiscoveryIsDown: more callers than there are descriptors connect and say nothing, or half of
+// what they want, while discovery answers nobody. Newcomers get in or get a close; once discovery is back the watch opens, the
+// drain is obeyed, and a backend that was never used is dialled.
+func TestIdleCallersFillTheirShareWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	a := newBackend(t, "127.0.0.1:0", whole)
+	b := newBackend(t, "127.0.0.1:0", whole)
+	const sockets = 96
+	g := newRig(t, func(c *Config) {
+		c.Sockets = sockets
+		c.Settings.Balancer.AskForList, c.Settings.Balancer.AskEvery = true, 10*time.Second
+	}, entry("a", a.address, "up"))
+	await(t, "the watch", g.registry.calls) // it gets no answer
+	var all []*testCaller
+	for n := range 3 * sockets {
+		c := g.dial()
+		if n%2 == 1 {
+			c.send(head("half")[:30])
+		}
+		all = append(all, c)
+		if open := g.callers.Len(); open > g.limits.hard {
+			t.Fatalf("%d callers' connections are open, %d at most", open, g.limits.hard)
+		}
+	}
+	// All that are still held are past their grace, so that a newcomer finds room.
+	time.Sleep(600 * time.Millisecond)
+	if status, body := g.dial().send(head("before")).answer(); status != 200 || body != "before" {
+		t.Errorf("while they fill it: %d %q", status, body)
+	}
+	await(t, "the request before", a.requests)
+	g.registry.lists <- list(2, false, entry("a", a.address, "draining"), entry("b", b.address, "up"))
+	await(t, "the next watch", g.registry.calls)
+	if status, body := g.dial().send(head("after")).answer(); status != 200 || body != "after" {
+		t.Errorf("once discovery is back: %d %q", status, body)
+	}
+	await(t, "the request after", b.requests)
+	if n := len(a.requests); n != 0 {
+		t.Errorf("%d requests to the one that drains", n)
+	}
+	for _, c := range all {
+		c.Close()
+	}
+	for g.callers.Len() > 2 { // places come back
+		time.Sleep(time.Millisecond)
+	}
+}
