Read ahead only behind a first byte: no buffer for a caller that waits

Seen in reading: callers.Conn.readAhead held a buffer of 4 KiB for each open request, since net/http always reads for a byte then. It reads that byte as before now and goes on only once one has come.

--- /dev/null
+++ b/internal/callers/ahead_test.go
@@ -0,0 +1,82 @@
+package callers
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// pieces is a connection whose reads bring one piece each, and then its end: a caller's, or that of net/http's patience.
+type pieces struct {
+	net.Conn
+	left [][]byte
+	end  error
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	for len(p.left) > 0 && len(p.left[0]) == 0 {
+		p.left = p.left[1:]
+	}
+	if len(p.left) == 0 {
+		return 0, p.end
+	}
+	n := copy(b, p.left[0])
+	p.left[0] = p.left[0][n:]
+	return n, nil
+}
+
+func (p *pieces) Close() error { return nil }
+
+// FuzzReadAhead: whatever comes in whatever pieces behind an open request, what is handed on is the beginning of what came, in
+// order; all of it where it fits and the caller is still there, and nothing behind the end of one that has gone.
+func FuzzReadAhead(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"), uint16(3), true)
+	f.Add(bytes.Repeat([]byte("x"), 3*aheadMost), uint16(1000), true)
+	f.Add([]byte("G"), uint16(1), false)
+	f.Fuzz(func(t *testing.T, sent []byte, size uint16, stays bool) {
+		if len(sent) == 0 {
+			return
+		}
+		p := &pieces{end: io.EOF}
+		if stays {
+			p.end = os.ErrDeadlineExceeded
+		}
+		for rest := sent; len(rest) > 0; {
+			n := min(len(rest), int(size)+1)
+			p.left, rest = append(p.left, rest[:n:n]), rest[n:]
+		}
+		s := NewSet(1, 2, time.Hour)
+		k := s.admit(p)
+		s.Track(k, http.StateActive)
+		var got []byte
+		n, err := k.Read(make([]byte, 1)) // as net/http does while it answers
+		if !stays {
+			if n != 0 || err != io.EOF || len(k.ahead) > 0 {
+				t.Fatalf("%d bytes and %v of a caller that has gone, %d kept", n, err, len(k.ahead))
+			}
+			return
+		}
+		got = append(got, sent[:n]...)
+		for {
+			b := make([]byte, int(size)%97+1)
+			if len(b) == 1 {
+				b = make([]byte, 2)
+			}
+			n, err := k.Read(b)
+			got = append(got, b[:n]...)
+			if err != nil {
+				break
+			}
+		}
+		if want := sent[:min(len(sent), aheadMost)]; !bytes.Equal(got, want) {
+			t.Fatalf("%d bytes handed on of %d, or others", len(got), len(sent))
+		}
+		if len(sent) > aheadMost != k.flooded {
+			t.Errorf("flooded %t by %d bytes", k.flooded, len(sent))
+		}
+	})
+}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -308,13 +308,15 @@
 	if k.flooded {
 		return 0, io.EOF
 	}
-	if len(b) != 1 || !k.serving() {
-		return k.Conn.Read(b)
+	n, err := k.Conn.Read(b)
+	if n != 1 || len(b) != 1 || err != nil || !k.serving() {
+		return n, err
 	}
+	k.ahead = append(k.ahead, b[0])
 	if err := k.readAhead(); err != nil {
 		return 0, err
 	}
-	n := copy(b, k.ahead)
+	n = copy(b, k.ahead)
 	k.ahead = k.ahead[n:]
 	return n, nil
 }
@@ -326,7 +328,7 @@
 	return k.state == http.StateActive
 }
 
-// readAhead reads until the caller's end, which it returns, or until the request is answered and net/http breaks the read off. What
+// readAhead reads on behind a first byte, until the caller's end, which it returns, or until the request is answered and net/http breaks the read off. What
 // comes beyond aheadMost is dropped, and with it the connection, once the open request is answered: no caller that waits for answers
 // sends as much, and one that has gone cannot be told before all is read.
 //
@@ -342,7 +344,7 @@
 		k.ahead = append(k.ahead, piece[:n]...)
 		switch {
 		case err == nil:
-		case errors.Is(err, os.ErrDeadlineExceeded) && len(k.ahead) > 0:
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		default:
 			k.ahead = nil // nobody waits for what it asks
