Who is turned away by discovery waits longer before the next call

So it is not the second call, but asking again at once where discovery has no room: that keeps its line full for all.

--- a/internal/count/count_test.go
+++ b/internal/count/count_test.go
@@ -36,7 +36,7 @@
 		log("p2", 2.9, attempt("a", "timed_out", 0, 900))+ // sent at 2.0
 		log("p2", 2.9, "msg=unserved id=2 class=0 refused=false attempts=1")+
 		log("p1", 3.0, "msg=call took_ms=900 seq=2 error=<nil>")+
-		log("p2", 3.2, `msg=call took_ms=0 seq=1 error="discovery answered 503"`)+
+		log("p2", 3.2, `msg=call took_ms=0 seq=1 error="discovery turned the call away: 503 Service Unavailable"`)+
 		log("p2", 3.9, "msg=call took_ms=20 seq=2 error=<nil>")+
 		log("p2", 3.95, "msg=whatever"))
 	if r.Proxies != 2 || len(r.Seconds) != 4 || r.Strange != 0 {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -32,6 +33,9 @@
 	moveSettle = 4 * time.Second
 	moveHold   = time.Second
 	movePause  = 200 * time.Millisecond
+	// turnedAwayMost is the longest that is waited after a call that discovery had no room for, beside what the balancer
+	// waits: who asks again at once keeps the line full, for all that ask.
+	turnedAwayMost = 1200 * time.Millisecond
 	// pushRetry is the pause between calls to an agent that does not answer.
 	pushRetry = 250 * time.Millisecond
 	// maxList bounds an answer; a fleet of thousands stays below.
@@ -121,6 +125,9 @@
 // errCutOff is what a call ends with whose answer had begun.
 var errCutOff = errors.New("discovery's answer cannot be read to its end")
 
+// errTurnedAway is what a call ends with that discovery has no answer for now.
+var errTurnedAway = errors.New("discovery turned the call away")
+
 // errMoved ends the call to an address that is no longer discovery's.
 var errMoved = errors.New("discovery has moved")
 
@@ -186,6 +193,9 @@
 			d.log.Info("a call for the server list is made again", "error", err)
 			continue
 		}
+		if errors.Is(err, errTurnedAway) {
+			sleep(ctx, rand.N(turnedAwayMost))
+		}
 		if !d.end(moves) && ctx.Err() == nil {
 			continue // it has moved since: the new address has not failed yet
 		}
@@ -374,7 +384,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+		return nil, fmt.Errorf("%w: %s", errTurnedAway, resp.Status)
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
 	switch {
