Linger only behind an answer, and whenever more came behind its request

Change: callers.Set.linger asks whether the connection was being answered, and whether anything came behind the request, read ahead, in part or unread. The test forces that order now, and fails without lingering. TestCloseOverUnreadBytes: at rest a reset, behind an answer an orderly end.

--- a/internal/callers/ahead_test.go
+++ b/internal/callers/ahead_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -80,3 +82,44 @@
 		}
 	})
 }
+
+// TestCloseOverUnreadBytes: a connection at rest is closed at once, and its caller sees by the reset that what it sent was not read;
+// one on which a request has just been answered is ended in order, so that the answer arrives.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	for state, want := range map[http.ConnState]error{http.StateIdle: syscall.ECONNRESET, http.StateActive: nil} {
+		t.Run(state.String(), func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			peer, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			accepted, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := NewSet(2, 4, time.Hour)
+			k := s.admit(accepted)
+			s.Track(k, http.StateActive)
+			s.Track(k, state)
+			io.WriteString(peer, "GET / HTTP/1.1\r\n")
+			for !k.unread() {
+				time.Sleep(time.Millisecond)
+			}
+			k.Close()
+			s.Track(k, http.StateClosed)
+			peer.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if _, err := io.ReadAll(peer); !errors.Is(err, want) {
+				t.Errorf("%v, want %v", err, want)
+			}
+			s.Wait()
+			if s.Len() != 0 || s.lingering != 0 {
+				t.Errorf("%d are open and %d linger", s.Len(), s.lingering)
+			}
+		})
+	}
+}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -371,20 +371,20 @@
 	return gone
 }
 
-// Close parks a connection whose read was broken off for that, and closes any other. Where bytes stand that nobody has read, it
-// lingers: a close over them is a reset, which takes with it what the caller has not read of its last answer.
+// Close parks a connection whose read was broken off for that, and closes any other. Where more has come behind the request that was
+// answered last, it lingers: a close over unread bytes is a reset, which takes with it what the caller has not read of its answer.
 func (k *Conn) Close() error {
 	if p := k.set.parking; p != nil && p.take(k) {
 		return nil
 	}
-	if !k.unread() || !k.set.linger(k) {
-		return k.Conn.Close()
+	if k.set.linger(k) {
+		return nil
 	}
-	return nil
+	return k.Conn.Close()
 }
 
 const (
-	// lingerTime is how long a connection that is closed over unread bytes is read on, and lingerMost how much.
+	// lingerTime is how long a connection that lingers is read on, and lingerMost how much of it.
 	lingerTime, lingerMost = 200 * time.Millisecond, 256 << 10
 	// mostLingering do so at one time; each holds a descriptor.
 	mostLingering = 16
@@ -403,12 +403,16 @@
 }
 
 // linger ends what is sent to a caller, and closes its connection once it has ended its side too or lingerTime is over. Nothing that
-// is read meanwhile is looked at. It returns false where enough others do so.
+// is read meanwhile is looked at. It returns false where enough others do so, where nothing has come behind the last request, and on
+// a connection at rest: what crosses its close has not been read, and its caller sends it again.
 func (c *Set) linger(k *Conn) bool {
 	half, ok := k.Conn.(interface{ CloseWrite() error })
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !ok || c.shut || k.ended || c.lingering >= min(mostLingering, c.hard-c.soft) {
+	if !ok || c.shut || k.ended || k.state != http.StateActive || c.lingering >= min(mostLingering, c.hard-c.soft) {
+		return false
+	}
+	if k.framing.Between() && len(k.ahead) == 0 && !k.unread() {
 		return false
 	}
 	k.ended = true
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // served runs a proxy as its process does: SIGTERM is what term does, and over is closed once it has ended.
@@ -164,11 +166,13 @@
 }
 
 // TestLastAnswerOverUnreadBytes: an answer that ends its connection is larger than what the sockets hold, its caller reads it
-// late, and half a head stands behind its request that nobody reads. The answer arrives whole.
+// late, and more stands behind its request, of which some comes as late. The answer arrives whole.
 func TestLastAnswerOverUnreadBytes(t *testing.T) {
 	t.Parallel()
 	const size = 60 << 10
+	answer := make(chan struct{})
 	b := newBackend(t, "127.0.0.1:0", func(id string) string {
+		<-answer
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
 	})
 	ended := make(chan struct{})
@@ -184,20 +188,31 @@
 	}, entry("s1", b.address, "up"))
 	c := g.dial()
 	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-	// A chunked request's end is not followed by what is read ahead.
-	post := strings.Replace(strings.Replace(head("a"), "search", "once", 1), "GET", "POST", 1)
-	c.send(post)
+	c.send(head("a"))
 	await(t, "the request", b.requests)
-	go func() {
-		for range 64 {
-			if _, err := io.WriteString(c.Conn, head("next")[:60]); err != nil {
-				return
-			}
-		}
-	}()
+	c.send(head("next")[:60])
+	for unsent(c.Conn.(*net.TCPConn)) > 0 { // until the proxy's socket has it
+		time.Sleep(time.Millisecond)
+	}
+	close(answer)
 	await(t, "the end of the connection here", ended)
+	c.send(head("next")[60:])
 	status, got := c.answer()
 	if status != 200 || len(got) != size {
 		t.Errorf("%d with %d of %d bytes", status, len(got), size)
 	}
+	c.closed()
+	if n := len(b.requests); n != 0 {
+		t.Errorf("%d further requests were sent on", n)
+	}
+}
+
+// unsent is how many bytes the other side's socket has not taken yet.
+func unsent(c *net.TCPConn) (n int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return n
 }
