A discovery that stays silent is told, and its calls leave nothing behind

Seen in reading the call beside an overdue one: while discovery says nothing a round goes on without end, kept a function for each call that it had made, and never failed, so that 'no answer to several watches in a row' was not logged any more. Each call that is given up is now a failure for the balancer, and only the last two are kept. TestSilenceIsTold: in a minute of silence 34 calls, two out at most, and all but two told as failed.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -288,15 +288,18 @@
 
 // ask has one question answered, and takes the answer in; it says how often discovery had moved before. A call that is
 // overdue stays out while another is made on a new connection: the old one may lead to a machine that was cut off
-// meanwhile. The first answer counts and ends the others; it has failed once none is out any more.
+// meanwhile. The first answer counts and ends the others; it has failed once none is out any more. Each call that is given up is a
+// failure for the balancer, too, so that people are told of a discovery that stays silent.
 func (d *Client) ask(ctx context.Context) (moves int, err error) {
 	r, ctx := d.round(ctx)
 	defer d.hangUpNow()
 	var (
 		answers = make(chan answer)
 		calls   sync.WaitGroup
-		out     []context.CancelFunc // of the calls made, the oldest first
+		made    int
 		pending int
+		older   context.CancelFunc // gives up the last call but one
+		newest  context.CancelFunc
 		late    = time.NewTimer(callWait) // set by each call
 	)
 	defer late.Stop()
@@ -304,16 +307,20 @@
 	defer calls.Wait()
 	defer cancel()
 	call := func() {
-		url, overdue, wait := r.target(len(out))
-		if len(out) > 0 {
+		url, overdue, wait := r.target(made)
+		if made == 1 {
 			d.log.Info("a call for the server list is overdue; another is made beside it")
+		}
+		if made > 0 {
 			d.client.CloseIdleConnections()
 		}
-		if len(out) >= 2 {
-			out[len(out)-2]()
+		if older != nil {
+			older()
+			d.update(balance.ListFailed, nil, nil)
 		}
 		timed, give := context.WithTimeout(calling, wait)
-		out = append(out, give)
+		older, newest = newest, give
+		made++
 		pending++
 		calls.Go(func() {
 			defer give()
