--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -187,11 +187,18 @@
 type follower struct {
 	mu       sync.Mutex
 	balancer *balance.Balancer
+	stopped  bool // no timer rings any more
 	watch    func()
 	told     chan struct{} // closed once the drain is known
 	once     sync.Once
 }
 
+func (f *follower) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopped = true
+}
+
 func (f *follower) Send(string, string, time.Duration) {}
 func (f *follower) Refuse(string, time.Duration)       {}
 func (f *follower) Fail(string)                        {}
@@ -202,6 +209,9 @@
 	time.AfterFunc(d, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if f.stopped {
+			return
+		}
 		f.balancer.Timer(time.Duration(time.Now().UnixNano()), token)
 	})
 }
@@ -263,6 +273,7 @@
 			t.Errorf("never told; calls at %v", asked)
 		}
 		late = time.Since(s.start) - max(changed, back)
+		f.stop()
 		cancel()
 		watches.Wait()
 		d.CloseIdle()
@@ -489,7 +500,11 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var watches sync.WaitGroup
+	var followers []*follower
 	h.stop = func() {
+		for _, f := range followers {
+			f.stop()
+		}
 		cancel()
 		watches.Wait()
 		for _, d := range h.clients {
@@ -499,6 +514,7 @@
 	}
 	for n := range proxies {
 		f, done := &follower{}, false
+		followers = append(followers, f)
 		var d *Client
 		d = New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
 			func(kind balance.ListKind, entries []balance.Entry, _ map[string]string) {
