--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -49,19 +49,25 @@
 	}
 }
 
-// TestFurtherRequestsAreServedInTurn: they were read ahead while the first was open, and are not lost by it.
-func TestFurtherRequestsAreServedInTurn(t *testing.T) {
-	t.Parallel()
-	hold := make(chan struct{})
-	b := newBackend(t, "127.0.0.1:0", func(id string) string {
+// openFirst is a caller whose first request is out at a backend, which answers it once hold is closed, and others at once.
+func openFirst(t *testing.T) (c *testCaller, b *backend, hold chan struct{}) {
+	t.Helper()
+	hold = make(chan struct{})
+	b = newBackend(t, "127.0.0.1:0", func(id string) string {
 		if id == "first" {
 			<-hold
 		}
 		return whole(id)
 	})
-	g := newRig(t, nil, entry("s1", b.address, "up"))
-	c := g.dial().send(head("first"))
+	c = newRig(t, nil, entry("s1", b.address, "up")).dial().send(head("first"))
 	await(t, "the first request", b.requests)
+	return c, b, hold
+}
+
+// TestFurtherRequestsAreServedInTurn: they were read ahead while the first was open, and are not lost by it.
+func TestFurtherRequestsAreServedInTurn(t *testing.T) {
+	t.Parallel()
+	c, b, hold := openFirst(t)
 	c.send(head("second")[:30])
 	c.send(head("second")[30:] + head("third"))
 	close(hold)
@@ -81,16 +87,7 @@
 // ends; the caller knows by that to send the others again.
 func TestAFloodBehindARequest(t *testing.T) {
 	t.Parallel()
-	hold := make(chan struct{})
-	b := newBackend(t, "127.0.0.1:0", func(id string) string {
-		if id == "first" {
-			<-hold
-		}
-		return whole(id)
-	})
-	g := newRig(t, nil, entry("s1", b.address, "up"))
-	c := g.dial().send(head("first"))
-	await(t, "the first request", b.requests)
+	c, b, hold := openFirst(t)
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
