The end before SIGKILL is computed, not timed beside a busy machine

TestTermMeetsRequestsInEveryState failed once in a whole run of its package, since its callers waited for 800 ms only, and bounded the end by a clock.

--- a/internal/restart/restart_test.go
+++ b/internal/restart/restart_test.go
@@ -68,3 +68,17 @@
 		t.Errorf("a short request has %v of its 50 ms", got)
 	}
 }
+
+// TestEndsBeforeSIGKILL computes it: SIGKILL comes 0.7 s after the longest deadline, of which the last answers and the server's own
+// end take some. Where all deadlines are under acceptMore it may come before; each request's own deadline is over by then.
+func TestEndsBeforeSIGKILL(t *testing.T) {
+	const ownEnd = 50 * time.Millisecond
+	for _, longest := range []time.Duration{acceptMore, time.Second, 3 * time.Second, 10 * time.Second} {
+		l := New()
+		l.Cap(longest)
+		kill := min(longest, 3*time.Second) + 700*ms
+		if last := l.end() + lastWords + ownEnd; last > kill {
+			t.Errorf("deadline %v: over after %v, SIGKILL after %v", longest, last, kill)
+		}
+	}
+}
