The test of a flood waits until the flood has been read

Beside six busy loops it failed on 1 of 20 plays: 277 answers where 200 were thought to be the most. The end of sending is no sign that the proxy has read it: the sockets hold megabytes on loopback, and what had not been read as the first request was answered was kept behind later ones. It waits until the proxy's socket has taken all 344 KB, of which that holds 128 KiB at most, and computes the bound (251) from what is kept, where 200 was a guess below it. No check is eased: before, a flood that was read late passed with more answers.

--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -97,7 +97,11 @@
 			}
 		}
 	}()
-	await(t, "the end of sending, which needs all to be read", sent)
+	await(t, "the end of sending", sent)
+	// Once the proxy's socket has taken all, most of it has been read: it holds 128 KiB at most, and far more was sent.
+	for unsent(c.Conn.(*net.TCPConn)) > 0 {
+		time.Sleep(time.Millisecond)
+	}
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
 	go b.drain(done)
@@ -112,7 +116,8 @@
 			t.Fatalf("%d %q", status, text)
 		}
 	}
-	if answers < 1 || answers > 200 {
-		t.Errorf("%d answers, want the first's and those of what was kept", answers)
+	// 16 KiB are kept, and net/http had up to 4 KiB behind the first head.
+	if most := 2 + (20<<10)/len(head("more0")); answers < 1 || answers > most {
+		t.Errorf("%d answers, want the first's and those of what was kept, %d at most", answers, most)
 	}
 }
