--- a/internal/cluster/link/link.go
+++ b/internal/cluster/link/link.go
@@ -53,6 +53,7 @@
 	Fleet    string
 	Listen   string // an address with a literal IP
 	Networks []netip.Prefix
+	Path     Path // nil for the network as it is
 }
 
 // Counts is what has passed and what has been dropped, from 0 at the start.
@@ -83,6 +84,7 @@
 	streams chan struct{}
 	parcels chan struct{}
 	sources sources
+	delayed delayed
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -192,15 +194,11 @@
 		return
 	}
 	text, err := l.codec.Message(m)
-	if err == nil {
-		_, err = l.udp.WriteToUDPAddrPort(text, at)
-	}
 	if err != nil {
 		l.counts.unsent.Add(1)
 		return
 	}
-	l.counts.sent.Add(1)
-	l.counts.sentBytes.Add(int64(len(text)))
+	l.emit(at, text)
 }
 
 // Carry sends a parcel to an address: as a datagram if it fits one, by a stream of its own otherwise. It does not block, and the
@@ -217,12 +215,7 @@
 		return
 	}
 	if len(text) <= codec.MostDatagram {
-		if _, err = l.udp.WriteToUDPAddrPort(text, at); err != nil {
-			l.counts.unsent.Add(1)
-			return
-		}
-		l.counts.sent.Add(1)
-		l.counts.sentBytes.Add(int64(len(text)))
+		l.emit(at, text)
 		return
 	}
 	select {
@@ -235,27 +228,40 @@
 		defer func() { <-l.parcels }()
 		ctx, cancel := context.WithTimeout(l.ctx, streamTime)
 		defer cancel()
-		conn, err := l.dial(ctx, to)
+		conn, err := l.dial(ctx, at)
 		if err == nil {
 			defer conn.Close()
 			defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })()
-			_, err = conn.Write(text)
+			err = l.writeStream(ctx, conn, at, text)
 		}
 		if err != nil {
 			l.counts.unsent.Add(1)
 			return
 		}
-		l.counts.sent.Add(1)
-		l.counts.sentBytes.Add(int64(len(text)))
+		l.countSent(len(text))
 	})
 }
 
 // dial connects from the address that others know us by.
-func (l *Link) dial(ctx context.Context, to string) (net.Conn, error) {
+func (l *Link) dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	for range 2 { // there and back
+		if err := l.travel(ctx, to, 0); err != nil {
+			return nil, err
+		}
+	}
 	own := *l.tcp.Addr().(*net.TCPAddr)
 	own.Port = 0
 	d := net.Dialer{LocalAddr: &own}
-	return d.DialContext(ctx, "tcp4", to)
+	return d.DialContext(ctx, "tcp4", to.String())
+}
+
+// writeStream writes to a stream that leads to an address.
+func (l *Link) writeStream(ctx context.Context, conn net.Conn, to netip.AddrPort, text []byte) error {
+	if err := l.travel(ctx, to, len(text)); err != nil {
+		return err
+	}
+	_, err := conn.Write(text)
+	return err
 }
 
 // Exchange sends a table to an address and returns the table that comes back.
@@ -275,13 +281,13 @@
 	ctx, cancel := context.WithTimeout(ctx, streamTime)
 	defer cancel()
 	defer context.AfterFunc(l.ctx, cancel)()
-	conn, err := l.dial(ctx, to)
+	conn, err := l.dial(ctx, at)
 	if err != nil {
 		return nil, fmt.Errorf("exchange: %w", err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })()
-	if _, err := conn.Write(text); err != nil {
+	if err := l.writeStream(ctx, conn, at, text); err != nil {
 		return nil, fmt.Errorf("exchange: %w", err)
 	}
 	got, err := l.codec.ReadTable(conn)
@@ -322,13 +328,13 @@
 		l.running.Go(func() {
 			defer func() { <-l.streams }()
 			defer conn.Close()
-			l.answer(conn, from.String())
+			l.answer(conn, from)
 		})
 	}
 }
 
 // answer carries out the other side of an Exchange.
-func (l *Link) answer(conn *net.TCPConn, from string) {
+func (l *Link) answer(conn *net.TCPConn, from netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(l.ctx, streamTime)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })()
@@ -341,12 +347,12 @@
 		l.handler.Parcel(parcel)
 		return
 	}
-	own, err := l.handler.Asked(ctx, from, table)
+	own, err := l.handler.Asked(ctx, from.String(), table)
 	if err != nil {
 		return
 	}
 	if text, err := l.codec.Table(own); err == nil {
-		conn.Write(text) // who is gone asks again
+		l.writeStream(ctx, conn, from, text) // who is gone asks again
 	}
 }
 
--- a/internal/cluster/link/link_test.go
+++ b/internal/cluster/link/link_test.go
@@ -42,9 +42,14 @@
 }
 
 func listen(t *testing.T, networks string) (*Link, *ear) {
+	t.Helper()
+	return listenOn(t, networks, nil)
+}
+
+func listenOn(t *testing.T, networks string, path Path) (*Link, *ear) {
 	t.Helper()
 	e := &ear{came: make(chan *view.Message, 10_000), parcels: make(chan []byte, 100), table: []view.Record{record("held")}}
-	l, err := Listen(Config{Fleet: "shelf", Listen: "127.0.0.1:0", Networks: []netip.Prefix{netip.MustParsePrefix(networks)}}, e)
+	l, err := Listen(Config{Fleet: "shelf", Listen: "127.0.0.1:0", Networks: []netip.Prefix{netip.MustParsePrefix(networks)}, Path: path}, e)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -50,7 +50,9 @@
 	Boot    uint64 // drawn at random at each start
 	// Succeeds: another process of this proxy may still hold the address, and will let go of it.
 	Succeeds bool
-	Log      *slog.Logger
+	// Path stands for the network between members in scale runs; nil for the network as it is.
+	Path link.Path
+	Log  *slog.Logger
 }
 
 // event is one thing for the owner to do.
@@ -117,7 +119,7 @@
 
 func (n *Node) listen() (*link.Link, error) {
 	o := &n.config.Options
-	return link.Listen(link.Config{Fleet: o.Name, Listen: o.Listen, Networks: o.prefixes()}, handler{n})
+	return link.Listen(link.Config{Fleet: o.Name, Listen: o.Listen, Networks: o.prefixes(), Path: n.config.Path}, handler{n})
 }
 
 // takeOver waits until the process before this one has let go of the address.
