scale: hollow members, voters and a runner for rest, change and machine

A scale run starts many members without the path of requests, about 100 to a process, with five voters in processes of their own, and measures how the view and the agreement scale. agreement.Config.Volatile: a member that keeps nothing on disk.

--- a/internal/cluster/agreement/node.go
+++ b/internal/cluster/agreement/node.go
@@ -49,7 +49,10 @@
 	Name    string // this proxy's
 	Boot    uint64 // drawn at random at each start
 	Seed    uint64
-	Log     *slog.Logger
+	// Volatile: this member keeps nothing on disk, and has no folder. A start that reaches no keeper then knows nothing. It is for
+	// many members on one machine, in scale runs; a keeper cannot be one.
+	Volatile bool
+	Log      *slog.Logger
 }
 
 type event func(c *accord.Core, now time.Duration)
@@ -93,6 +96,9 @@
 
 // Open begins a proxy's part.
 func Open(c Config, carrier cluster.Carrier) (*Node, error) {
+	if c.Volatile && c.Options.keeps(c.Name) {
+		return nil, fmt.Errorf("rules: %s is a keeper, which needs a folder", c.Name)
+	}
 	n := &Node{
 		config: c, carrier: carrier, events: make(chan event, mostWaiting), asks: make(chan event),
 		answers: map[string]chan rules.Answer{},
@@ -128,6 +134,9 @@
 // openStore opens the folder. Nothing in it keeps the process from starting; later says that another process still holds it.
 func (n *Node) openStore() (stored accord.Stored, later bool, err error) {
 	c := &n.config
+	if c.Volatile {
+		return stored, false, nil
+	}
 	for range 2 {
 		disk, aside, why, err := store.Open(c.Options.Folder, c.Fleet, c.Name)
 		switch {
--- /dev/null
+++ b/internal/rig/hollow/host.go
@@ -0,0 +1,334 @@
+// Package hollow runs many members of a fleet in one process, each with the code and the sockets of a real one and without the path
+// of requests: a view (package cluster), and a part in the agreement (package agreement). It is for scale runs, in which many such
+// hosts share one machine, and what the network between machines would do is done where something is sent.
+//
+//	host.go      Host: the members of one process
+//	member.go    one member
+//	watch.go     what a member does, read from its log
+//	layout.go    which address stands where
+//	network.go   delays and cuts between places
+//	protocol.go  what a host is asked, and answers
+//	serve.go     a host as a process
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"brasswell/internal/cluster/rules"
+)
+
+// Host is the members of one process. Its methods may be called at any time.
+type Host struct {
+	fleet   Fleet
+	network *Network
+
+	mu          sync.Mutex
+	members     map[string]*member
+	living      map[string]uint64 // boots of all living members of the run, by name
+	cuts        []cutSpan
+	lost        int
+	falseDeaths int
+	elections   []int64
+}
+
+// cutSpan is when a region was cut off. end is 0 while it is.
+type cutSpan struct {
+	region     int
+	begin, end int64
+}
+
+// NewHost returns a host without members.
+func NewHost(f Fleet) *Host {
+	return &Host{fleet: f, network: NewNetwork(f.Layout, f.Seed), members: map[string]*member{}, living: map[string]uint64{}}
+}
+
+// Start starts members, until ctx is done.
+func (h *Host) Start(ctx context.Context, s Start) error {
+	for i, spec := range s.Members {
+		if i > 0 && s.Every > 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(s.Every):
+			}
+		}
+		if err := h.startOne(spec); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Host) startOne(s Spec) error {
+	h.mu.Lock()
+	_, runs := h.members[s.Name]
+	h.mu.Unlock()
+	if runs {
+		return fmt.Errorf("%s: it runs already", s.Name)
+	}
+	m, err := h.open(s)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members[s.Name] = m
+	return nil
+}
+
+// Stop ends members at once, without a word to others.
+func (h *Host) Stop(names []string) error {
+	var ending sync.WaitGroup
+	defer ending.Wait()
+	for _, name := range names {
+		h.mu.Lock()
+		m := h.members[name]
+		delete(h.members, name)
+		h.mu.Unlock()
+		if m == nil {
+			return fmt.Errorf("%s: it does not run", name)
+		}
+		ending.Go(m.close)
+	}
+	return nil
+}
+
+// Close ends all members.
+func (h *Host) Close() {
+	var names []string
+	for _, m := range h.all() {
+		names = append(names, m.spec.Name)
+	}
+	h.Stop(names)
+}
+
+// all are the members that run.
+func (h *Host) all() []*member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := make([]*member, 0, len(h.members))
+	for _, m := range h.members {
+		all = append(all, m)
+	}
+	return all
+}
+
+// SetLiving takes in which members of the run live.
+func (h *Host) SetLiving(l Living) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, name := range l.Down {
+		delete(h.living, name)
+	}
+	for _, b := range l.Up {
+		h.living[b.Name] = b.Boot
+	}
+}
+
+// Cut cuts a region off from the others, or heals that.
+func (h *Host) Cut(c Cut) {
+	now := time.Now().UnixNano()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c.Heal {
+		h.network.Heal(c.Region)
+		for i := range h.cuts {
+			if h.cuts[i].region == c.Region && h.cuts[i].end == 0 {
+				h.cuts[i].end = now
+			}
+		}
+		return
+	}
+	h.network.Cut(c.Region)
+	h.cuts = append(h.cuts, cutSpan{region: c.Region, begin: now})
+}
+
+// death takes in that a member here holds another one dead.
+func (h *Host) death(observer Spec, of Boot, at netip.Addr) {
+	place, ok := h.fleet.Layout.PlaceOf(at)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	boot, lives := h.living[of.Name]
+	if !ok || !lives || boot != 0 && boot != of.Boot {
+		return
+	}
+	if h.network.Reaches(Place{Zone: observer.Zone}, place) {
+		h.falseDeaths++
+	}
+}
+
+// leaseLost takes in that the lease of a member here has run out.
+func (h *Host) leaseLost(s Spec) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	region := h.fleet.Layout.Region(s.Zone)
+	if !slices.ContainsFunc(h.cuts, func(c cutSpan) bool { return c.region == region && c.end == 0 }) {
+		h.lost++
+	}
+}
+
+func (h *Host) elected() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.elections = append(h.elections, time.Now().UnixNano())
+}
+
+// Sample is how the members stand.
+func (h *Host) Sample() *Sampled {
+	s := &Sampled{Views: map[uint64]int{}, MemoryB: residentMemory()}
+	for i, m := range h.all() {
+		m.mu.Lock()
+		m.sample(s, i == 0)
+		m.mu.Unlock()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.Lost, s.FalseDeaths, s.Elected = h.lost, h.falseDeaths, slices.Clone(h.elections)
+	return s
+}
+
+// sample adds a member to a sample. Its lock is held.
+func (m *member) sample(s *Sampled, first bool) {
+	s.Living++
+	if m.leased {
+		s.Leased++
+	}
+	if m.joined > 0 {
+		s.Joined++
+		s.JoinedNS = max(s.JoinedNS, m.joined)
+	}
+	if m.leads {
+		s.Leader = m.spec.Name
+	}
+	s.Views[m.present]++
+	s.ViewChangedNS = max(s.ViewChangedNS, m.changed)
+	var now learned
+	if n := len(m.versions); n > 0 {
+		now = m.versions[n-1]
+	}
+	if first || now.version < s.LowVersion {
+		s.LowVersion = now.version
+	}
+	s.HighVersion = max(s.HighVersion, now.version)
+	s.LastVersion = max(s.LastVersion, now.last)
+}
+
+// Spread is how changes have spread.
+func (h *Host) Spread(ask SpreadAsk) []Spread {
+	members := h.all()
+	h.mu.Lock()
+	cuts := slices.Clone(h.cuts)
+	h.mu.Unlock()
+	var spreads []Spread
+	for _, c := range ask.Changes {
+		s := Spread{Version: c.Version}
+		for _, m := range members {
+			m.mu.Lock()
+			m.spread(&s, c, ask.CutOff, cuts, h.fleet.Layout.Region(m.spec.Zone))
+			m.mu.Unlock()
+		}
+		spreads = append(spreads, s)
+	}
+	return spreads
+}
+
+// spread adds a member to a change's spread, if it counts. Its lock is held.
+func (m *member) spread(s *Spread, c Change, cutOff bool, cuts []cutSpan, region int) {
+	if m.joined == 0 || m.joined > c.ProposedNS {
+		return
+	}
+	knew, acted := m.knew(c.Version), m.acted(c.Version)
+	missed := func(cut cutSpan) bool {
+		over := cut.end > 0 && c.ProposedNS >= cut.end
+		before := acted > 0 && acted <= cut.begin
+		return cut.region == region && !over && !before
+	}
+	if slices.ContainsFunc(cuts, missed) != cutOff {
+		return
+	}
+	s.Members++
+	if knew > 0 {
+		s.Known++
+		s.KnownNS = max(s.KnownNS, knew)
+	}
+	if acted > 0 {
+		s.Acting++
+		s.ActingNS = max(s.ActingNS, acted)
+	}
+}
+
+// Propose has a member propose a change, and returns what became of it.
+func (h *Host) Propose(ctx context.Context, p Propose) (*Proposal, error) {
+	m, err := h.named(p.At)
+	if err != nil {
+		return nil, err
+	}
+	c := rules.Change{Who: "scale", Why: "scale run", Server: p.Backend}
+	switch p.Kind {
+	case Ban:
+		c.Kind = rules.Suspend
+	case Unban:
+		c.Kind = rules.Resume
+	case Settle:
+		c.Kind, c.Settings = rules.Configure, &rules.Settings{Classes: map[string]rules.Class{}, Quota: 1}
+		for _, name := range p.Classes {
+			c.Settings.Classes[name] = rules.Class{NoRepeat: true}
+		}
+	default:
+		return nil, fmt.Errorf("no kind of change %q", p.Kind)
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Within)
+	defer cancel()
+	proposal := &Proposal{ProposedNS: time.Now().UnixNano()}
+	answer, err := m.rules.Propose(ctx, c)
+	switch {
+	case err != nil:
+		proposal.No = err.Error()
+	default:
+		proposal.Version, proposal.No = answer.Version, answer.No
+	}
+	return proposal, nil
+}
+
+func (h *Host) named(name string) (*member, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if m := h.members[name]; m != nil {
+		return m, nil
+	}
+	return nil, fmt.Errorf("%s: it does not run", name)
+}
+
+// Usage is what the process and its members have used.
+func (h *Host) Usage() *Usage {
+	u := &Usage{CPU: processorTime(), MemoryB: residentMemory()}
+	for _, m := range h.all() {
+		u.Members = append(u.Members, m.usage())
+	}
+	return u
+}
+
+// Document is the size of what a member acts on.
+func (h *Host) Document(name string) (*Document, error) {
+	m, err := h.named(name)
+	if err != nil {
+		return nil, err
+	}
+	b := m.rules.Basis()
+	if b.Doc == nil {
+		return nil, errors.New("nothing is acted on")
+	}
+	text, err := cbor.Marshal(b.Doc)
+	if err != nil {
+		return nil, err
+	}
+	return &Document{Version: b.Version, Bans: len(b.Doc.Bans), Classes: len(b.Doc.Classes), Numbers: len(b.Doc.Numbers), SizeB: len(text)}, nil
+}
--- /dev/null
+++ b/internal/rig/scale/bounds.go
@@ -0,0 +1,96 @@
+package scale
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+)
+
+const (
+	// lowestBase and highestBase are the second bytes of addresses that runs use.
+	lowestBase, highestBase = 64, 250
+	// baseTries is how many bases are looked at for one whose addresses are all free.
+	baseTries = 10
+	// perHost members share a process.
+	perHost = 100
+	// mostProcesses of a run, this one not counted.
+	mostProcesses = 199
+	// memoryShare of the machine's memory may be used by all processes of a run together.
+	memoryShare = 0.5
+	// perMemberDescriptors is what a member has open at most: its two sockets, and streams.
+	perMemberDescriptors = 24
+	// ownDescriptors is what a process has open beside.
+	ownDescriptors = 100
+	// perMemberMemory and perPairMemory are about what a hollow member holds, and for each member that it knows.
+	perMemberMemory, perPairMemory = 256 << 10, 1500
+)
+
+// checkDescriptors says whether a host may open what its members need.
+func checkDescriptors(members int) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("scale: descriptors: %w", err)
+	}
+	return enoughDescriptors(members, limit.Max)
+}
+
+func enoughDescriptors(members int, limit uint64) error {
+	if need := uint64(members*perMemberDescriptors + ownDescriptors); need > limit {
+		return fmt.Errorf("scale: a process of %d members needs %d descriptors, and %d are allowed: raise `ulimit -n`, or run fewer --members", members, need, limit)
+	}
+	return nil
+}
+
+// machineMemory is the machine's, in bytes.
+func machineMemory() (uint64, error) {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0, fmt.Errorf("scale: %w", err)
+	}
+	for line := range strings.Lines(string(text)) {
+		rest, found := strings.CutPrefix(line, "MemTotal:")
+		if !found {
+			continue
+		}
+		kib, err := strconv.ParseUint(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("scale: /proc/meminfo: %w", err)
+		}
+		return kib << 10, nil
+	}
+	return 0, fmt.Errorf("scale: /proc/meminfo names no MemTotal")
+}
+
+// checkMemory says whether a run of so many members is likely to stay within its share of the memory.
+func checkMemory(members int, memory uint64) error {
+	need := uint64(members) * (perMemberMemory + uint64(members)*perPairMemory)
+	if allowed := uint64(memoryShare * float64(memory)); need > allowed {
+		return fmt.Errorf("scale: %d members need about %d MiB, and %d MiB are allowed (half of the machine's): run fewer --members", members, need>>20, allowed>>20)
+	}
+	return nil
+}
+
+// free says whether all addresses can be listened at.
+func free(addresses []netip.AddrPort) error {
+	for _, at := range addresses {
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+		if err != nil {
+			return fmt.Errorf("scale: %s is taken: %w; end what listens there, or give another --base", at, err)
+		}
+		udp.Close()
+		tcp, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
+		if err != nil {
+			return fmt.Errorf("scale: %s is taken: %w; end what listens there, or give another --base", at, err)
+		}
+		tcp.Close()
+	}
+	return nil
+}
+
+// drawBase is a second byte of addresses that leaves room for all zones.
+func drawBase(zones int) int { return lowestBase + rand.IntN(highestBase+2-zones-lowestBase) }
