--- /dev/null
+++ b/internal/cli/scale_parent.go
@@ -0,0 +1,13 @@
+package cli
+
+import "github.com/spf13/cobra"
+
+// scaleVerb holds the verbs about measuring at scale.
+func (e *env) scaleVerb() *cobra.Command {
+	c := &cobra.Command{
+		Use: "scale", Short: "Measure how the control part of proxies scales",
+		Example: "  brasswell scale fit docs/measurements/scale",
+	}
+	c.AddCommand(e.scaleFitVerb())
+	return c
+}
--- /dev/null
+++ b/internal/rig/scale/fit/series.go
@@ -0,0 +1,63 @@
+package fit
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"brasswell/internal/rig/scale/result"
+)
+
+// Series is what runs have in common that may be fitted together: they differ in the number of members alone.
+type Series struct {
+	Event    string  `json:"event"`
+	RTTMS    float64 `json:"rtt_ms"`
+	LeaseS   float64 `json:"lease_s"`
+	PeriodMS float64 `json:"period_ms"`
+	Bans     int     `json:"bans"`
+	Classes  int     `json:"classes"`
+}
+
+// String is the series for people.
+func (s Series) String() string {
+	return fmt.Sprintf("%s, round trip %s ms, lease %s s, period %s ms, %d bans, %d classes", s.Event, digits(s.RTTMS), digits(s.LeaseS),
+		digits(s.PeriodMS), s.Bans, s.Classes)
+}
+
+func seriesOf(s *result.Settings) Series {
+	return Series{s.Event, s.RTTMS, s.LeaseS, s.PeriodMS, s.Bans, s.Classes}
+}
+
+func compareSeries(a, b Series) int {
+	return cmp.Or(cmp.Compare(a.Event, b.Event), cmp.Compare(a.RTTMS, b.RTTMS), cmp.Compare(a.LeaseS, b.LeaseS),
+		cmp.Compare(a.PeriodMS, b.PeriodMS), cmp.Compare(a.Bans, b.Bans), cmp.Compare(a.Classes, b.Classes))
+}
+
+// leftOut is why a run is not fitted; empty if it is.
+func leftOut(run *result.Run) string {
+	switch {
+	case run.Interrupted:
+		return "interrupted"
+	case len(run.Trouble) > 0:
+		return "trouble: " + run.Trouble[0]
+	default:
+		return ""
+	}
+}
+
+// group sorts the runs that are fitted by series. The series' order is that of compareSeries, the runs' within one that of the files.
+func group(files []File) (all []Series, runs map[Series][]*result.Run) {
+	runs = map[Series][]*result.Run{}
+	for _, f := range files {
+		if leftOut(f.Run) != "" {
+			continue
+		}
+		s := seriesOf(&f.Run.Settings)
+		if runs[s] == nil {
+			all = append(all, s)
+		}
+		runs[s] = append(runs[s], f.Run)
+	}
+	slices.SortFunc(all, compareSeries)
+	return all, runs
+}
