--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -41,7 +41,6 @@
 	sent    time.Duration
 	work    time.Duration
 	over    bool // its result has been told
-	running bool
 	node    *node
 }
 
--- a/balance/hand_test.go
+++ b/balance/hand_test.go
@@ -33,8 +33,10 @@
 	if went := f.serve("a", 40, 10*ms); went["s003"] == 0 {
 		t.Fatal("s003 was never used")
 	}
-	if !f.b.Suspend(f.now, "s003") || !f.b.Suspend(f.now, "s003") {
-		t.Fatal("no to a listed server")
+	for range 2 { // once more is no error
+		if !f.b.Suspend(f.now, "s003") {
+			t.Fatal("no to a listed server")
+		}
 	}
 	for what, update := range map[string]func(){
 		"nothing":   func() {},
--- a/internal/channel/handshake/handshake.go
+++ b/internal/channel/handshake/handshake.go
@@ -26,6 +26,9 @@
 	ExtensionField = "Sec-Websocket-Extensions"
 	// CheckField, set to "utf8" by either end, asks for text to be checked on its way.
 	CheckField = "X-Channel-Check"
+
+	upgradeField    = "Upgrade"
+	connectionField = "Connection"
 )
 
 // ErrVersion is that of a request for another version: its answer is 426 and names the one there is.
@@ -33,7 +36,7 @@
 
 // Wanted says whether a request asks for a channel, rightly or not.
 func Wanted(r *http.Request) bool {
-	return has(r.Header["Upgrade"], "websocket")
+	return has(r.Header[upgradeField], "websocket")
 }
 
 // has says whether one of the fields, which are lists of tokens, has one (RFC 9110, section 5.6.1).
@@ -69,10 +72,10 @@
 		return nil, fmt.Errorf("%s: a channel begins with GET", r.Method)
 	case !r.ProtoAtLeast(1, 1):
 		return nil, errors.New("a channel needs HTTP/1.1")
-	case !has(h["Connection"], "upgrade"):
-		return nil, errors.New("Connection: lacks the option upgrade")
-	case len(tokens(h["Upgrade"])) != 1:
-		return nil, errors.New("Upgrade: names more than websocket")
+	case !has(h[connectionField], "upgrade"):
+		return nil, fmt.Errorf("%s: lacks the option upgrade", connectionField)
+	case len(tokens(h[upgradeField])) != 1:
+		return nil, fmt.Errorf("%s: names more than websocket", upgradeField)
 	case r.ContentLength != 0 || r.TransferEncoding != nil:
 		return nil, errors.New("a request for a channel has no body")
 	case len(h[VersionField]) != 1 || h.Get(VersionField) != Version:
@@ -117,10 +120,10 @@
 func (o *Offer) Check(h http.Header) (Agreement, error) {
 	a := Agreement{UTF8: o.UTF8 || h.Get(CheckField) == "utf8"}
 	switch {
-	case len(tokens(h["Upgrade"])) != 1 || !has(h["Upgrade"], "websocket"):
-		return a, errors.New("Upgrade: the server changed to something else than websocket")
-	case !has(h["Connection"], "upgrade"):
-		return a, errors.New("Connection: the server's answer lacks the option upgrade")
+	case len(tokens(h[upgradeField])) != 1 || !has(h[upgradeField], "websocket"):
+		return a, fmt.Errorf("%s: the server changed to something else than websocket", upgradeField)
+	case !has(h[connectionField], "upgrade"):
+		return a, fmt.Errorf("%s: the server's answer lacks the option upgrade", connectionField)
 	case len(h[AcceptField]) != 1 || h.Get(AcceptField) != Accept(o.key):
 		return a, fmt.Errorf("%s: does not answer the client's key", AcceptField)
 	case len(h[ProtocolField]) > 1:
--- a/internal/cluster/model/model.go
+++ b/internal/cluster/model/model.go
@@ -41,7 +41,6 @@
 	up, paused    bool
 	boot          uint64
 	starts        int
-	pausedUntil   time.Duration
 	view          *view.View
 	inbox         []event       // what comes while it is paused
 	wake          time.Duration // the wake that is queued
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -65,7 +65,6 @@
 	began  time.Time
 	events chan event
 	asks   chan event // from this process's own, never dropped
-	seeds  chan []string
 
 	link      atomic.Pointer[link.Link] // nil until the address is ours
 	lost      atomic.Int64              // datagrams that found the owner's line full
--- a/internal/cluster/revival/revival_test.go
+++ b/internal/cluster/revival/revival_test.go
@@ -49,7 +49,6 @@
 	steps  []Step
 	at     []time.Duration
 	open   time.Duration // when anything was let in first
-	born   []time.Duration
 }
 
 func (o *one) Tell(to string, r *Report) {
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -336,8 +336,7 @@
 		close(s.change)
 		ctx, cancel := context.WithCancel(t.Context())
 		var told []balance.ListKind
-		var d *Client
-		d = New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+		d := New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
 			func(kind balance.ListKind, _ []balance.Entry, _ map[string]string) {
 				if told = append(told, kind); kind != balance.ListFailed {
 					cancel()
@@ -515,8 +514,7 @@
 	for n := range proxies {
 		f, done := &follower{}, false
 		followers = append(followers, f)
-		var d *Client
-		d = New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+		d := New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
 			func(kind balance.ListKind, entries []balance.Entry, _ map[string]string) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -60,9 +60,7 @@
 // step draws one fault of a kind for a fleet of so many backends.
 func step(kind string, backends int, dice *rand.Rand) standin.Step {
 	s := standin.Step{At: time.Duration(50+dice.IntN(150)) * time.Millisecond, Do: kind, Size: 0.3 + 0.5*dice.Float64()}
-	for _, i := range dice.Perm(backends)[:1+dice.IntN(backends/4)] {
-		s.Who = append(s.Who, i)
-	}
+	s.Who = append(s.Who, dice.Perm(backends)[:1+dice.IntN(backends/4)]...)
 	switch kind {
 	case "slow":
 		s.Size = 5 + 5*dice.Float64()
--- a/internal/proxy/upgrade_test.go
+++ b/internal/proxy/upgrade_test.go
@@ -102,7 +102,6 @@
 // crowd is callers that ask one request after the other on kept connections until they are told to end.
 type crowd struct {
 	address string
-	prefix  string
 	asked   atomic.Int64
 	broken  atomic.Int64 // requests that met a closed, reset or unread connection
 	unheard atomic.Int64 // answers that were not 200 with the request's own id
--- a/internal/rig/switchboard.go
+++ b/internal/rig/switchboard.go
@@ -28,7 +28,6 @@
 // decided by faults.Network.
 type Switchboard struct {
 	began time.Time
-	log   func(format string, a ...any)
 
 	mu      sync.Mutex
 	network *faults.Network
