Measure the latency that proxies add to calls

What a proxy adds at the 99th percentile was not measured in an open loop, and not for several one behind the other. `brasswell scale calls` sends the same calls straight to a stand-in backend and through one or more proxies, in turn, at moments from a seeded Poisson process; latencies count from the moment at which a call was to be sent, and the caller's own lateness is stated. `brasswell scale fit` prints the results.

The processor time of a process comes from its own clock, where the rig read /proc in ticks of 10 ms. The platform's file for a proxy at a place is written in one function, where the rig changed a finished one.

--- a/internal/cli/scale_parent.go
+++ b/internal/cli/scale_parent.go
@@ -6,8 +6,8 @@
 func (e *env) scaleVerb() *cobra.Command {
 	c := &cobra.Command{
 		Use: "scale", Short: "Measure how the control part of proxies scales",
-		Example: "  brasswell scale fit docs/measurements/scale",
+		Example: "  brasswell scale calls --rate 100 --depth 1\n  brasswell scale fit docs/measurements/scale",
 	}
-	c.AddCommand(e.scaleFitVerb())
+	c.AddCommand(e.scaleFitVerb(), e.scaleCallsVerb())
 	return c
 }
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -47,6 +47,16 @@
 	starts  int
 }
 
+// pid is the process's id; 0 while it is not there.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // start starts the process; it does not wait until it answers.
 func (p *process) start() error {
 	p.mu.Lock()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -11,7 +11,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -250,23 +249,12 @@
 	if err != nil {
 		return err
 	}
-	text, err := r.fleet.ConfigOf(i, r.config.Story.Members, memoryMB, sockets)
+	text, err := r.fleet.ConfigAt(i, r.config.Story.Members, memoryMB, sockets, standin.Place{
+		Name: cmp.Or(r.config.Names[m.name], m.name), Listen: m.address, Console: m.at.console, Discovery: discovery, Told: told,
+	})
 	if err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
-	var file map[string]any
-	if err := json.Unmarshal(text, &file); err != nil {
-		return fmt.Errorf("rig: %w", err)
-	}
-	known := file["known"].(map[string]any)
-	for _, h := range known["hosts"].([]any) {
-		host := h.(map[string]any)
-		host["dial"] = behind[host["host"].(string)]
-	}
-	file["name"], file["listen"], file["discovery"], file["console"] = cmp.Or(r.config.Names[m.name], m.name), m.address, discovery, m.at.console
-	if text, err = json.Marshal(file); err != nil {
-		return fmt.Errorf("rig: %w", err)
-	}
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
@@ -407,23 +395,12 @@
 
 // cpu is the processor time that each member's process has used, by its id.
 func (r *Rig) cpu() map[int]time.Duration {
-	const tick = 10 * time.Millisecond // USER_HZ is 100 on Linux
 	used := map[int]time.Duration{}
 	for _, m := range r.members {
 		pid := r.PID(m.name)
-		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-		if err != nil {
-			continue
-		}
-		_, rest, _ := strings.Cut(string(text), ") ") // the name may hold blanks
-		fields := strings.Fields(rest)
-		const user, system = 11, 12 // of proc(5), counted from the state on
-		if len(fields) <= system {
-			continue
+		if spent, err := ProcessorTime(pid); err == nil {
+			used[pid] = spent
 		}
-		u, _ := strconv.ParseInt(fields[user], 10, 64)
-		s, _ := strconv.ParseInt(fields[system], 10, 64)
-		used[pid] = time.Duration(u+s) * tick
 	}
 	return used
 }
@@ -751,15 +728,7 @@
 func (r *Rig) Public(name string) string { return r.byName[name].public }
 
 // PID is the process id of a member; 0 while it is not there.
-func (r *Rig) PID(name string) int {
-	p := r.byName[name].process()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return 0
-	}
-	return p.cmd.Process.Pid
-}
+func (r *Rig) PID(name string) int { return r.byName[name].process().pid() }
 
 // Boot is the boot by which one member knows another, from the history; 0 if it does not.
 func (r *Rig) Boot(of, about string) (boot uint64) {
--- /dev/null
+++ b/internal/rig/scale/callresult/callresult_test.go
@@ -0,0 +1,88 @@
+package callresult
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// side is a side of ten calls with a 99th percentile.
+func side(p99 float64) Side {
+	return Side{Sent: 12, Answered: 12, Recorded: 10, MedianMS: 1, P99MS: p99, WorstMS: p99 + 1, LateP99MS: 0.1}
+}
+
+func sound() *Run {
+	pair := func(direct, proxied, cpu float64) Pair {
+		return Pair{Direct: side(direct), Proxied: side(proxied), HopCalls: []int64{12, 12}, HopCPUUS: []float64{cpu, cpu + 20}}
+	}
+	return &Run{
+		Version: Version, Settings: Settings{Rates: []float64{100}, Depths: []int{2}, Pairs: 3, LengthS: 1},
+		Cases: []Case{{Rate: 100, Depth: 2, Pairs: []Pair{pair(2, 3, 50), pair(2, 8, 60), pair(3, 4.5, 10)}}},
+	}
+}
+
+func written(t *testing.T, r *Run) string {
+	t.Helper()
+	var text strings.Builder
+	if err := r.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	return text.String()
+}
+
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	got, err := Read(strings.NewReader(written(t, sound())))
+	if err != nil || !reflect.DeepEqual(got, sound()) {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+func TestSummary(t *testing.T) {
+	r := sound()
+	r.Cases[0].Pairs[1].Proxied.Answered = 11
+	r.Cases[0].Pairs[2].Direct.LateP99MS = 0.4
+	want := Summary{
+		Direct: Times{1, 2}, Proxied: Times{1, 4.5}, Added: 1.5, AddedLeast: 1, AddedMost: 6, CPUUS: 60, Unanswered: 1, LateP99MS: 0.4,
+	}
+	if got := r.Cases[0].Summary(); got != want || r.Unanswered() != 1 {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	even := Case{Pairs: r.Cases[0].Pairs[:2]}
+	if got := even.Summary().Proxied.P99; got != 5.5 {
+		t.Errorf("median of two: %v", got)
+	}
+}
+
+func TestBadFiles(t *testing.T) {
+	whole := written(t, sound())
+	changed := func(change func(*Run)) string {
+		r := sound()
+		change(r)
+		return written(t, r)
+	}
+	for name, text := range map[string]string{
+		"cut":              whole[:len(whole)/2],
+		"two values":       whole + whole,
+		"another version":  strings.Replace(whole, `"version": 1`, `"version": 2`, 1),
+		"another field":    strings.Replace(whole, `"version"`, `"x": 1, "version"`, 1),
+		"no cases":         changed(func(r *Run) { r.Cases = nil }),
+		"no pairs":         changed(func(r *Run) { r.Cases[0].Pairs = nil }),
+		"no rate":          changed(func(r *Run) { r.Cases[0].Rate = 0 }),
+		"another depth":    changed(func(r *Run) { r.Cases[0].Depth = 3 }),
+		"negative CPU":     changed(func(r *Run) { r.Cases[0].Pairs[0].HopCPUUS[0] = -1 }),
+		"negative calls":   changed(func(r *Run) { r.Cases[0].Pairs[0].HopCalls[1] = -1 }),
+		"more answered":    changed(func(r *Run) { r.Cases[0].Pairs[0].Direct.Answered = 13 }),
+		"more recorded":    changed(func(r *Run) { r.Cases[0].Pairs[0].Proxied.Recorded = 13 }),
+		"nothing sent":     changed(func(r *Run) { r.Cases[0].Pairs[0].Proxied = Side{} }),
+		"negative median":  changed(func(r *Run) { r.Cases[0].Pairs[0].Direct.MedianMS = -1 }),
+		"99th above worst": changed(func(r *Run) { r.Cases[0].Pairs[0].Direct.P99MS = 100 }),
+		"no object":        `[]`,
+	} {
+		if _, err := Read(strings.NewReader(text)); err == nil || !strings.HasPrefix(err.Error(), "calls: ") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := Read(strings.NewReader(changed(func(r *Run) { r.Cases, r.Interrupted = nil, true }))); err != nil {
+		t.Errorf("interrupted before the first case: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/rig/scale/calls/chain.go
@@ -0,0 +1,163 @@
+package calls
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"brasswell/internal/rig"
+	"brasswell/internal/standin"
+	"brasswell/internal/standin/audit"
+)
+
+const (
+	// The ports of each proxy, on an address of its own, below those that the kernel gives out.
+	consolePort, proxyPort = 17947, 17948
+	// The backend takes all calls at once, so that it adds the same to both sides.
+	slots = 4096
+	// The limits of each proxy, as of one of a fleet.
+	memoryMB, sockets = 64, 1024
+	// visitor begins the ids of all calls: they are in no books.
+	visitor = "calls-"
+	class   = "search"
+	aim     = 750 * time.Millisecond
+	giveUp  = 2 * time.Second
+	// The console's count of answers, and of the calls that have not ended.
+	servedFigure, activeFigure = "edge_relay.ok." + class, "edge_relay.active"
+	// settleTime bounds the wait for calls to end whose callers have their answers, settlePause is between two looks.
+	settleTime, settlePause = 5 * time.Second, 5 * time.Millisecond
+)
+
+// chain is proxies one behind the other, before one backend that answers at once.
+type chain struct {
+	fleet   *standin.Fleet
+	proxies []*rig.Server
+	address []string // where each proxy is called
+}
+
+// startChain starts the backend and the proxies, the last first, and returns once all take calls.
+func startChain(ctx context.Context, program rig.Program, depth int, folder string) (*chain, error) {
+	fleet, err := standin.NewFleet(standin.FleetConfig{
+		Backends: 1, Slots: slots, Visitor: visitor,
+		Classes: []standin.Class{{Name: class, Effect: audit.Safe, Aim: aim, GiveUp: giveUp, Worth: 1, Share: 1}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &chain{fleet: fleet, proxies: make([]*rig.Server, depth)}
+	network := [2]byte{byte(64 + rand.IntN(128)), byte(rand.IntN(250))} // that no other chain of this machine has, but by a rare chance
+	for i := range depth {
+		c.address = append(c.address, loopback(network, i, proxyPort))
+	}
+	for i := depth - 1; i >= 0; i-- {
+		if c.proxies[i], err = c.startProxy(ctx, program, i, filepath.Join(folder, fmt.Sprint(i)), loopback(network, i, consolePort)); err != nil {
+			return nil, errors.Join(err, c.close())
+		}
+	}
+	return c, nil
+}
+
+// loopback is the address of one proxy.
+func loopback(network [2]byte, i int, port uint16) string {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, network[0], network[1], byte(i + 1)}), port).String()
+}
+
+// startProxy starts one proxy. Its only backend is the next proxy; that of the last is the fleet's.
+func (c *chain) startProxy(ctx context.Context, program rig.Program, i int, folder, console string) (*rig.Server, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, fmt.Errorf("calls: %w", err)
+	}
+	told := func(h standin.Host) standin.Host {
+		if i+1 < len(c.address) {
+			h.Dial = c.address[i+1]
+		}
+		return h
+	}
+	list, err := c.fleet.Discovery.ServeAs(told)
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("hop-%d", i+1)
+	text, err := c.fleet.ConfigAt(0, 1, memoryMB, sockets, standin.Place{Name: name, Listen: c.address[i], Console: console, Discovery: list, Told: told})
+	if err != nil {
+		return nil, fmt.Errorf("calls: %w", err)
+	}
+	return rig.StartServer(ctx, program, name, folder, console, text)
+}
+
+// backend is the address of the backend, and first that of the first proxy.
+func (c *chain) backend() string { return c.fleet.Backends[0].Address() }
+func (c *chain) first() string   { return c.address[0] }
+
+// usage is what one proxy has done so far.
+type usage struct {
+	served int64
+	time   time.Duration // of the processor
+}
+
+// settle waits until no proxy has a call that has not ended: a proxy counts a call after its caller has the answer.
+func (c *chain) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for _, p := range c.proxies {
+		for {
+			active, err := p.Figure(ctx, activeFigure)
+			if err != nil {
+				return err
+			}
+			if active == 0 {
+				break
+			}
+			if !sleepUntil(ctx, time.Now().Add(settlePause)) {
+				return fmt.Errorf("calls: %d calls do not end: %w", active, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// usage is that of each proxy, which must have nothing to do.
+func (c *chain) usage(ctx context.Context) ([]usage, error) {
+	if err := c.settle(ctx); err != nil {
+		return nil, err
+	}
+	var all []usage
+	for _, p := range c.proxies {
+		served, err := p.Figure(ctx, servedFigure)
+		if err != nil {
+			return nil, err
+		}
+		spent, err := p.ProcessorTime()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, usage{served, spent})
+	}
+	return all, nil
+}
+
+// spent is the processor time of all proxies so far.
+func (c *chain) spent() (sum time.Duration) {
+	for _, p := range c.proxies {
+		if spent, err := p.ProcessorTime(); err == nil {
+			sum += spent
+		}
+	}
+	return sum
+}
+
+// close ends the proxies and the backend.
+func (c *chain) close() error {
+	var errs []error
+	for _, p := range c.proxies {
+		if p != nil {
+			errs = append(errs, p.Close())
+		}
+	}
+	return errors.Join(append(errs, c.fleet.Close())...)
+}
--- a/internal/rig/scale/fit/fit.go
+++ b/internal/rig/scale/fit/fit.go
@@ -45,9 +45,10 @@
 
 // Report is all that the results of a folder say.
 type Report struct {
-	Runs    []RunLine `json:"runs"`
-	Usage   []Row     `json:"usage"`
-	InForce []Row     `json:"in_force"`
+	Runs    []RunLine  `json:"runs"`
+	Usage   []Row      `json:"usage"`
+	InForce []Row      `json:"in_force"`
+	Calls   []CallsRow `json:"calls"`
 }
 
 // RunLine is one run in the list of runs.
@@ -65,16 +66,22 @@
 	Used        string  `json:"used"` // in what way the run is used, or why not
 }
 
-// Folder reads the results of a folder and fits them.
+// Folder reads the results of a folder, and those of calls in its folder calls, and fits them.
 func Folder(folder string) (*Report, error) {
 	files, err := readRuns(folder)
 	if err != nil {
 		return nil, err
 	}
-	if len(files) == 0 {
+	calls, err := readCalls(folder)
+	if err != nil {
+		return nil, err
+	}
+	if len(files) == 0 && len(calls) == 0 {
 		return nil, &FileError{folder, errNoFiles, mendFolder}
 	}
-	return report(files), nil
+	r := report(files)
+	r.Calls = calls
+	return r, nil
 }
 
 // report fits runs that make sense.
--- a/internal/rig/scale/fit/markdown.go
+++ b/internal/rig/scale/fit/markdown.go
@@ -24,7 +24,7 @@
 	return fmt.Sprintf(beginLine, t.Name) + "\n" + t.Text + endLine + "\n"
 }
 
-// Tables are all tables that there is something for, in a fixed order: runs, criterion, usage-ROLE, in-force and models.
+// Tables are all tables that there is something for, in a fixed order: runs, criterion, usage-ROLE, in-force, models and calls.
 func (r *Report) Tables() []Table {
 	var all []Table
 	if len(r.Runs) > 0 {
@@ -47,6 +47,9 @@
 	if rows := slices.Concat(r.Usage, r.InForce); len(rows) > 0 {
 		all = append(all, Table{"models", modelsText(rows)})
 	}
+	if len(r.Calls) > 0 {
+		all = append(all, Table{"calls", callsText(r.Calls)})
+	}
 	return all
 }
 
@@ -80,7 +83,7 @@
 			if c := r.Chosen; c != nil {
 				cells = []string{r.title(), string(c.Model), c.formula(), optional(c.ResidualSD), digits(c.LargestResidual), optional(c.LeaveOneOut)}
 			}
-			t.row(append(cells, optional(r.Predicted), r.measured(), r.errorText(), strings.Join(r.Remarks, "; "))...)
+			t.row(append(cells, optional(r.Predicted), r.measured(), r.errorText(), joined(r.Remarks))...)
 		}
 		return t.String()
 	})
@@ -193,6 +196,8 @@
 	return digits(*v)
 }
 
+func joined(remarks []string) string { return strings.Join(remarks, "; ") }
+
 func whole(n int) string { return strconv.Itoa(n) }
 
 // table is a Markdown table under construction.
--- a/internal/rig/scale/fit/page_test.go
+++ b/internal/rig/scale/fit/page_test.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	checkPage(t, filepath.Join("testdata", "CAPACITY.md"), []string{"runs", "criterion", "usage-member", "in-force", "models"}, report.Tables())
+	checkPage(t, filepath.Join("testdata", "CAPACITY.md"), []string{"runs", "criterion", "usage-member", "in-force", "models", "calls"}, report.Tables())
 }
 
 func TestPagesThatDiffer(t *testing.T) {
--- a/internal/rig/scale/fit/read.go
+++ b/internal/rig/scale/fit/read.go
@@ -33,7 +33,7 @@
 
 // The mends of files that cannot be used.
 const (
-	mendFolder = "name the folder that holds the files of `brasswell scale --format json`"
+	mendFolder = "name the folder that holds the files of `brasswell scale --format json`, or with a folder calls of `brasswell scale calls --format json`"
 	mendFile   = "measure it again, or take the file out of the folder"
 )
 
--- /dev/null
+++ b/internal/rig/server.go
@@ -0,0 +1,98 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Server is one process of the program that serves alone, without a story, for measurements.
+type Server struct {
+	at *process
+
+	mu   sync.Mutex
+	said string // its last line
+}
+
+// StartServer starts `brasswell run` with a platform file, which names the console, and returns once it takes clients. Its files are
+// kept in the folder, which must be its own.
+func StartServer(ctx context.Context, program Program, name, folder, console string, platform []byte) (*Server, error) {
+	path := filepath.Join(folder, "config.json")
+	if err := os.WriteFile(path, platform, 0o600); err != nil {
+		return nil, fmt.Errorf("rig: %w", err)
+	}
+	s := &Server{}
+	s.at = &process{
+		program: program, name: name, folder: folder, temporary: folder, console: console, lines: s.line,
+		args: []string{"run"}, env: []string{"RELAY_CONFIG=" + path},
+	}
+	if err := s.at.start(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	if err := s.at.ready(ctx); err != nil {
+		s.at.kill()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return nil, fmt.Errorf("%w; it said last: %q", err, s.said)
+	}
+	return s, nil
+}
+
+// line takes in a line that the process has said.
+func (s *Server) line(_, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.said = text
+}
+
+// Close ends the process at once.
+func (s *Server) Close() error { return s.at.kill() }
+
+// ProcessorTime is what the process has used so far.
+func (s *Server) ProcessorTime() (time.Duration, error) { return ProcessorTime(s.at.pid()) }
+
+// Figure is one figure of the process's console, by its name there.
+func (s *Server) Figure(ctx context.Context, name string) (int64, error) {
+	code, text, err := s.at.get(ctx, "/v1/metrics")
+	if err != nil {
+		return 0, fmt.Errorf("rig: %s: %w", s.at.name, err)
+	}
+	if code != http.StatusOK {
+		return 0, fmt.Errorf("rig: %s: metrics: status %d", s.at.name, code)
+	}
+	for line := range strings.Lines(text) {
+		if rest, found := strings.CutPrefix(line, name+":"); found {
+			value, _, _ := strings.Cut(rest, "|")
+			return strconv.ParseInt(value, 10, 64)
+		}
+	}
+	return 0, fmt.Errorf("rig: %s: no figure %s", s.at.name, name)
+}
+
+// ProcessorTime is what all threads of a process have used so far, in user and system mode. It reads the process's own clock, see
+// clock_getcpuclockid(3): /proc counts in ticks of 10 ms, which is what a hundred calls take.
+func ProcessorTime(pid int) (time.Duration, error) {
+	const (
+		idBits    = 3 // of a clock's number, below the process's id
+		schedTime = 2 // the clock of the time that the scheduler has given, CPUCLOCK_SCHED
+	)
+	if pid <= 0 {
+		return 0, errors.New("rig: processor time of no process") // the clock of 0 is this process's own
+	}
+	var used unix.Timespec
+	if err := unix.ClockGettime(int32(^pid<<idBits|schedTime), &used); err != nil {
+		return 0, fmt.Errorf("rig: processor time of %d: %w", pid, err)
+	}
+	return time.Duration(used.Nano()), nil
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -150,12 +150,24 @@
 
 // Whole is the whole list as a proxy may have known it.
 func (d *Discovery) Whole() json.RawMessage {
+	text, _ := json.Marshal(d.whole(d.asIs)) // plain values always marshal
+	return text
+}
+
+// whole is the whole list as a proxy may have known it, with the entries as told gives them.
+func (d *Discovery) whole(told func(Host) Host) hostList {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	text, _ := json.Marshal(d.list(-1)) // plain values always marshal
-	return text
+	l := d.list(-1)
+	for i := range l.Hosts {
+		l.Hosts[i] = told(l.Hosts[i])
+	}
+	return l
 }
 
+// asIs tells an entry unchanged.
+func (d *Discovery) asIs(h Host) Host { return h }
+
 // list is what changed after a version, or the whole list for one below 0. d.mu must be held.
 func (d *Discovery) list(from int64) hostList {
 	l := hostList{Seq: d.seq, Whole: from < 0, Hosts: []Host{}}
@@ -168,7 +180,7 @@
 }
 
 func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
-	d.serveAs(w, r, func(h Host) Host { return h })
+	d.serveAs(w, r, d.asIs)
 }
 
 func (d *Discovery) serveAs(w http.ResponseWriter, r *http.Request, told func(Host) Host) {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -123,6 +123,21 @@
 
 // ConfigOf is the platform's file for one of several proxies before this fleet.
 func (f *Fleet) ConfigOf(me, instances int, memoryMB float64, sockets int) ([]byte, error) {
+	return f.ConfigAt(me, instances, memoryMB, sockets, Place{
+		Name: fmt.Sprintf("n%d", me+1), Listen: f.config.Listen, Discovery: f.Discovery.Address(), Told: f.Discovery.asIs,
+	})
+}
+
+// Place is where one proxy stands among the others and the backends.
+type Place struct {
+	Name, Listen string
+	Console      string // "" for none
+	Discovery    string
+	Told         func(Host) Host // how it reaches each backend; as in Discovery.ServeAs
+}
+
+// ConfigAt is the platform's file for one of several proxies at a place.
+func (f *Fleet) ConfigAt(me, instances int, memoryMB float64, sockets int, at Place) ([]byte, error) {
 	effects := map[audit.Effect]string{audit.Safe: "free", audit.Keyed: "guarded", audit.Unsafe: "single_shot"}
 	var classes []map[string]any
 	for _, c := range f.config.Classes {
@@ -133,10 +148,10 @@
 		})
 	}
 	return json.Marshal(map[string]any{
-		"name": fmt.Sprintf("n%d", me+1), "listen": f.config.Listen, "discovery": f.Discovery.Address(),
+		"name": at.Name, "listen": at.Listen, "console": at.Console, "discovery": at.Discovery,
 		"seed":   fmt.Sprintf("%x", f.config.Seed+uint64(me)),
 		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
-		"known":  f.Discovery.Whole(),
+		"known":  f.Discovery.whole(at.Told),
 		"settings": map[string]any{
 			"instances": instances, "me": me, "layer": 0, "discovery": "push", "zones": zones, "over_share_worth": 0.05,
 			"request_classes": classes,
