Cut view.go into files of one job

983 lines held probing, suspicions, exchanges and the members. They are files of one job now, each with its constants, and unexported names are SWIM's: a probe that failed raises a suspicion, pings have no consequence, records are applied and disseminated.

--- /dev/null
+++ b/internal/cluster/view/member.go
@@ -0,0 +1,163 @@
+package view
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// remembered is how many periods dead members are kept and pinged, a day at 300 ms. A member that is unreachable for longer comes back
+// by the seeds.
+const remembered = 288_000
+
+// member is what this process holds of another member.
+type member struct {
+	Record
+	since time.Duration
+	place int // in View.present; -1 if it is not there
+
+	// While it is suspect:
+	suspectedAt   time.Duration
+	deadline      time.Duration // when it is declared dead
+	accusers      []string      // the members that suspect it
+	deadElsewhere bool          // another process holds it dead
+	ownSuspicion  bool          // it did not answer this process
+
+	aliveElsewhere bool // it is dead here, and another process holds it alive
+}
+
+// hash is a record's part of the digest: name, start and incarnation.
+func hash(r *Record) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(r.Name))
+	var b [16]byte
+	for i := range 8 {
+		b[i], b[8+i] = byte(r.Boot>>(8*i)), byte(r.Incarnation>>(8*i))
+	}
+	h.Write(b[:])
+	// The parts are put together by exclusive or, under which the last steps of FNV alone would be too alike.
+	x := h.Sum64()
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
+// sortedKeys are the names of members, in order.
+func sortedKeys(m map[string]*member) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// addMember takes in a member that was unknown.
+func (v *View) addMember(now time.Duration, r *Record) {
+	if len(v.members) >= v.set.Most-1 && !v.evictGone() {
+		v.forgotten++
+		return
+	}
+	m := &member{Record: *r, since: now, place: -1}
+	v.members[r.Name] = m
+	if !r.State.present() {
+		v.gone = append(v.gone, m) // not news: it may be long ago
+		return
+	}
+	was := *r
+	m.Record.State, m.Record.By = Alive, ""
+	v.insertPresent(m)
+	v.markChanged(now, m.Name)
+	v.host.Changed(Change{Record: m.Record, Why: Joined})
+	v.insertIntoRound(m)
+	if was.State == Suspect {
+		v.raiseSuspicion(now, m, was.By, Told)
+	}
+}
+
+// evictGone forgets the member that has been gone longest, and says whether there was one.
+func (v *View) evictGone() bool {
+	for len(v.gone) > 0 {
+		m := v.gone[0]
+		v.gone = v.gone[1:]
+		if m.place < 0 && v.members[m.Name] == m {
+			delete(v.members, m.Name)
+			return true
+		}
+	}
+	return false
+}
+
+// forgetGone drops the members that have been gone for as long as they are remembered.
+func (v *View) forgetGone(now time.Duration) {
+	for len(v.gone) > 0 {
+		m := v.gone[0]
+		if m.place < 0 && now-m.since < remembered*v.set.Period {
+			return
+		}
+		v.gone = v.gone[1:]
+		if m.place < 0 && v.members[m.Name] == m {
+			delete(v.members, m.Name)
+		}
+	}
+}
+
+// insertPresent adds a member to those that are present.
+func (v *View) insertPresent(m *member) {
+	m.place = len(v.present)
+	v.present = append(v.present, m)
+	v.digest ^= hash(&m.Record)
+}
+
+// removePresent takes a member out of those that are present.
+func (v *View) removePresent(m *member) {
+	last := v.present[len(v.present)-1]
+	v.present[m.place], last.place = last, m.place
+	v.present = v.present[:len(v.present)-1]
+	m.place = -1
+	v.digest ^= hash(&m.Record)
+}
+
+// insertIntoRound gives a member that has just joined a place in this round of probes: records of it may be old.
+func (v *View) insertIntoRound(m *member) {
+	if len(v.order) > 0 {
+		v.order = slices.Insert(v.order, v.rng.IntN(len(v.order)+1), m)
+	}
+}
+
+// markChanged notes that the record of a name has changed and is to be disseminated.
+func (v *View) markChanged(now time.Duration, name string) {
+	v.changedAt = now
+	v.news.tell(name)
+}
+
+// setRecord replaces the record of a member, and disseminates it.
+func (v *View) setRecord(now time.Duration, m *member, r Record, why Why) {
+	was, boot := m.State, m.Boot
+	if m.place >= 0 {
+		v.removePresent(m)
+	}
+	m.Record, m.aliveElsewhere = r, false
+	if r.State != Suspect {
+		delete(v.suspect, m.Name)
+		m.accusers = m.accusers[:0]
+	}
+	if r.State.present() {
+		v.gone = slices.DeleteFunc(v.gone, func(g *member) bool { return g == m })
+		v.insertPresent(m)
+		if !was.present() {
+			v.insertIntoRound(m)
+		}
+	} else if was.present() {
+		v.gone = append(v.gone, m)
+	}
+	v.markChanged(now, m.Name)
+	if was == r.State && boot == r.Boot {
+		return
+	}
+	m.since = now
+	v.host.Changed(Change{Record: r, Was: was, Why: why})
+	if m.Name == v.self.Name && v.displaced && !r.State.present() {
+		v.retakeName(now)
+	}
+}
--- a/internal/cluster/view/name.go
+++ b/internal/cluster/view/name.go
@@ -5,24 +5,32 @@
 	"time"
 )
 
-// This file is about this process's own name: saying that it lives, and what becomes of two processes under one name.
+// This file is about this process's own name: refuting what others hold of it, and settling which of two processes under one name has
+// it.
 //
-// Whoever starts claims its name from whoever had it, as a restart does. Later a claim by another start is looked into
-// first: if that one answers, this process yields and is no member any more; if it does not, as when an old record comes
-// back from behind a cut, the name is claimed again. So two living processes under one name settle on the later one, and
-// no record of a dead one ever displaces a living one for good.
+// A process that starts claims its name from the process that had it, as after a restart. Later it pings another claimant first: if
+// that one answers, this process yields and is no member any more; if it does not, as when an old record comes back from behind a
+// partition, it claims the name again. So two living processes under one name settle on the later one, and no record of a dead one
+// displaces a living one for good.
 
-// ofMyself takes in what somebody says of this process's name.
-func (v *View) ofMyself(now time.Duration, r *Record) {
+const (
+	// joinPeriods after its start this process claims its name from any other process that has it; later it pings that one first.
+	joinPeriods = 10
+	// mostBackoff bounds the periods between two claims of a name that another process claims too. They double each time.
+	mostBackoff = 4096
+)
+
+// applyOwn merges a record of this process's own name: it refutes one that does not hold it alive, and settles who has the name.
+func (v *View) applyOwn(now time.Duration, r *Record) {
 	if v.displaced {
 		return
 	}
 	if r.Boot == v.self.Boot {
 		if r.State != Alive && r.Incarnation >= v.self.Incarnation {
-			v.ill(1) // others could not hear us: perhaps we are slow
-			v.raise(now, r.Incarnation)
+			v.degradeHealth(1) // others did not get our answer: perhaps we are slow
+			v.raiseIncarnation(now, r.Incarnation)
 		} else if r.Incarnation > v.self.Incarnation {
-			v.raise(now, r.Incarnation)
+			v.raiseIncarnation(now, r.Incarnation)
 		}
 		return
 	}
@@ -30,63 +38,63 @@
 		return
 	}
 	if !r.State.present() {
-		v.raise(now, r.Incarnation)
+		v.raiseIncarnation(now, r.Incarnation)
 		return
 	}
-	if now-v.started < joinPeriods*v.set.Period && v.backoff == 1 {
+	if now-v.startedAt < joinPeriods*v.set.Period && v.backoff == 1 {
 		v.backoff = 2
-		v.claimed = now
-		v.raise(now, r.Incarnation)
+		v.claimedAt = now
+		v.raiseIncarnation(now, r.Incarnation)
 		return
 	}
 	for _, a := range v.asked {
-		if a.claim == r.Boot {
-			return // it is being looked into
+		if a.claimant == r.Boot {
+			return // a ping verifies that already
 		}
 	}
-	v.ask(now, r.Address, nil, asked{until: now + v.stretched(3*v.set.Period), claim: r.Boot, over: r.Incarnation})
+	v.ping(now, r.Address, nil, pendingPing{until: now + v.scaledByHealth(3*v.set.Period), claimant: r.Boot, claimIncarnation: r.Incarnation})
 }
 
-// raise makes this process's incarnation later than another.
-func (v *View) raise(now time.Duration, than uint64) {
+// raiseIncarnation sets this process's incarnation above another, which refutes all records up to that.
+func (v *View) raiseIncarnation(now time.Duration, than uint64) {
 	if than >= mostIncarnation {
 		return
 	}
 	v.digest ^= hash(&v.self)
 	v.self.Incarnation = than + 1
 	v.digest ^= hash(&v.self)
-	v.touch(now, v.self.Name)
+	v.markChanged(now, v.self.Name)
 }
 
-// claim takes the name from a claimant that does not answer, at ever longer intervals: one that lives and cannot be
-// reached would do the same.
-func (v *View) claim(now time.Duration, over uint64) {
-	if v.displaced || now-v.claimed < time.Duration(v.backoff)*v.set.Period {
+// claimName takes the name from a claimant that does not answer, at ever longer intervals: a claimant that is alive and cannot be
+// reached does the same.
+func (v *View) claimName(now time.Duration, over uint64) {
+	if v.displaced || now-v.claimedAt < time.Duration(v.backoff)*v.set.Period {
 		return
 	}
-	v.claimed, v.backoff = now, min(2*v.backoff, mostBackoff)
-	v.raise(now, max(v.self.Incarnation, over))
+	v.claimedAt, v.backoff = now, min(2*v.backoff, mostBackoff)
+	v.raiseIncarnation(now, max(v.self.Incarnation, over))
 }
 
-// yield gives the name to a later process that has been heard.
-func (v *View) yield(now time.Duration, r Record) {
+// yieldName leaves the name to a later process that has sent a message itself.
+func (v *View) yieldName(now time.Duration, r Record) {
 	v.displaced = true
 	v.digest ^= hash(&v.self)
 	m := &member{Record: r, since: now, place: -1}
 	v.members[r.Name] = m
-	v.enter(m)
-	v.touch(now, r.Name)
+	v.insertPresent(m)
+	v.markChanged(now, r.Name)
 	v.host.Changed(Change{Record: r, Was: Alive, Why: Displaced})
 }
 
-// retake takes the name back once the process that had it is gone.
-func (v *View) retake(now time.Duration) {
+// retakeName takes the name back once the process that had it is gone.
+func (v *View) retakeName(now time.Duration) {
 	m := v.members[v.self.Name]
 	delete(v.members, v.self.Name)
 	v.gone = slices.DeleteFunc(v.gone, func(g *member) bool { return g == m })
 	v.displaced, v.duplicate = false, nil
 	v.self.State = Alive
 	v.digest ^= hash(&v.self)
-	v.raise(now, max(m.Incarnation, v.self.Incarnation))
+	v.raiseIncarnation(now, max(m.Incarnation, v.self.Incarnation))
 	v.host.Changed(Change{Record: v.self, Was: m.State, Why: Retaken})
 }
--- /dev/null
+++ b/internal/cluster/view/standing.go
@@ -0,0 +1,55 @@
+package view
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Standing is a snapshot of the view.
+func (v *View) Standing(now time.Duration) Standing {
+	s := Standing{
+		Self: v.self, Displaced: v.displaced, Health: v.health, Digest: v.digest, Forgotten: v.forgotten,
+		Settled: len(v.suspect) == 0 && now-v.changedAt > quietPeriods*v.set.Period && v.digestsDifferSince == 0 &&
+			(len(v.present) == 0 || v.agreeing > 0) && !v.displaced,
+	}
+	if v.duplicate != nil {
+		d := *v.duplicate
+		s.Duplicate = &d
+	}
+	if !v.displaced {
+		s.Members = append(s.Members, Member{Record: v.self, Since: v.startedAt, Self: true})
+	}
+	for _, name := range sortedKeys(v.members) {
+		m := v.members[name]
+		s.Members = append(s.Members, Member{Record: m.Record, Since: m.since})
+	}
+	slices.SortFunc(s.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
+
+// Present is how many members are present, this process included.
+func (v *View) Present() int {
+	if v.displaced {
+		return len(v.present)
+	}
+	return len(v.present) + 1
+}
+
+// Holds is the state in which a name is held; 0 if it is unknown.
+func (v *View) Holds(name string) State {
+	if r := v.record(name); r != nil {
+		return r.State
+	}
+	return 0
+}
+
+// At is the name of the member that is reached at an address; "" if none is known.
+func (v *View) At(address string) string {
+	for _, m := range v.present {
+		if m.Address == address {
+			return m.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/cluster/view/suspicion.go
@@ -0,0 +1,139 @@
+package view
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// suspicionPeriods, times the logarithm of the number of members, is the shortest suspicion timeout, and suspicionRange times that the
+	// longest, which holds while no other member confirms the suspicion.
+	suspicionPeriods, suspicionRange = 4.0, 3.0
+	// confirmers is how many confirmations beside the first suspicion make the timeout its shortest.
+	confirmers = 2
+	// mostFalseSuspicions bounds the count of refuted suspicions. Each halves the number of probes after a failure, down to
+	// mostWidth >> mostFalseSuspicions = 1; one is forgotten each falseSuspicionPeriods.
+	mostFalseSuspicions, falseSuspicionPeriods = 3, 16
+)
+
+// raiseSuspicion marks a member suspect, or adds a confirmation to its suspicion.
+func (v *View) raiseSuspicion(now time.Duration, m *member, by string, why Why) {
+	own := by == v.self.Name
+	switch m.State {
+	case Alive:
+		m.suspectedAt, m.accusers, m.deadElsewhere, m.ownSuspicion = now, append(m.accusers[:0], by), false, own
+		r := m.Record
+		r.State, r.By = Suspect, by
+		v.setRecord(now, m, r, why)
+		v.suspect[m.Name] = m
+		if !own && !v.set.NoPrompt && len(v.probes) < 2*mostWidth && v.chance(2*fleetPings/float64(len(v.present)+1)) {
+			// Some look for themselves at once: it hears of the suspicion, and if they get no answer either, it is short.
+			v.probe(now, m, &m.Record, "")
+		}
+	case Suspect:
+		if own && !m.ownSuspicion {
+			m.ownSuspicion = true
+			v.setSuspicionDeadline(now, m)
+		}
+		if len(m.accusers) > confirmers || slices.Contains(m.accusers, by) {
+			return
+		}
+		m.accusers = append(m.accusers, by)
+		if own {
+			m.By = by // that another one accuses it counts, so it is passed on
+			v.news.tell(m.Name)
+		}
+	default:
+		return
+	}
+	if v.set.NoSuspicion {
+		v.declareDead(now, m)
+		return
+	}
+	v.setSuspicionDeadline(now, m)
+}
+
+// noteFalseSuspicion counts a suspicion of this process that was refuted: the member that did not answer is alive, so answers get lost.
+// Probing ever more members then finds none dead and loses ever more answers.
+//
+// It guards against suspicions that cause each other where datagrams are lost: at a loss of 30% each suspicion led to more than one
+// further one. It might harm where members die meanwhile: several that die at once are then found one after another.
+func (v *View) noteFalseSuspicion(now time.Duration) {
+	if v.set.NoCalm {
+		return
+	}
+	if v.falseSuspicions == 0 {
+		v.falseSuspicionAt = now
+	}
+	v.falseSuspicions = min(v.falseSuspicions+1, mostFalseSuspicions)
+}
+
+// minSuspicion is the shortest suspicion timeout: long enough for the suspicion to reach the member and its refutation to come back.
+func (v *View) minSuspicion() time.Duration {
+	scale := max(1, math.Log10(float64(len(v.present)+1)))
+	return time.Duration(suspicionPeriods * scale * float64(v.set.Period))
+}
+
+// setSuspicionDeadline sets the end of a suspicion from its confirmations, as Lifeguard does. One without confirmation lasts longest,
+// since the process that raised it may itself be at fault. Where fewer members are left to confirm than are needed, fewer are enough.
+func (v *View) setSuspicionDeadline(now time.Duration, m *member) {
+	least := v.minSuspicion()
+	most := time.Duration(suspicionRange * float64(least))
+	others := len(v.present) - len(v.suspect) // that are well, beside this process
+	needed := min(confirmers, others)
+	d := most
+	switch have := len(m.accusers) - 1; {
+	case v.set.NoCorrection:
+	case m.deadElsewhere && m.ownSuspicion && have > 0:
+		d = least / 2 // another one's suspicion has run out, and it does not answer here either
+	case m.deadElsewhere || have >= needed:
+		d = least
+	default:
+		// Lifeguard's: each further accuser takes off less than the one before.
+		d -= time.Duration(float64(most-least) * math.Log(float64(have+1)) / math.Log(float64(needed+1)))
+	}
+	if m.ownSuspicion && v.health > 0 {
+		d = max(d, time.Duration(float64(least)*(1+float64(v.health)/2)))
+	}
+	m.deadline = max(m.suspectedAt+d, now) // one that is over by now is no work that was done late
+}
+
+// expiredSuspects are the names of the suspects whose timeout is over, in an order that does not depend on a map's.
+func (v *View) expiredSuspects(now time.Duration) []string {
+	var names []string
+	for name, m := range v.suspect {
+		if now >= m.deadline {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// declareDead ends a suspicion that was not refuted.
+func (v *View) declareDead(now time.Duration, m *member) {
+	if now < v.trustUntil {
+		m.deadline = v.trustUntil
+		return
+	}
+	r := m.Record
+	r.State = Dead
+	v.setRecord(now, m, r, Expired)
+}
+
+// pingSuspects lets suspects learn of their suspicion, so that they can refute it. The members that raised it ping the suspect themselves,
+// and of the others about as many as are enough.
+func (v *View) pingSuspects(now time.Duration, all float64) {
+	n := 0
+	for _, name := range sortedKeys(v.suspect) {
+		m := v.suspect[name]
+		if n == mostWidth {
+			return
+		}
+		if m.ownSuspicion || v.chance(2*fleetPings/all) {
+			n++
+			v.ping(now, m.Address, &m.Record, pendingPing{until: now + 2*v.set.Period})
+		}
+	}
+}
