Scale fit: documents with and without numbers are series of their own

Runs are grouped by the document's bans and classes; whether the members' own numbers are in it changes its size with the members as well. The list of runs shows both.

--- a/internal/rig/scale/fit/check.go
+++ b/internal/rig/scale/fit/check.go
@@ -49,7 +49,7 @@
 		value float64
 	}{
 		{"settings.rtt_ms", s.RTTMS}, {"settings.lease_s", s.LeaseS}, {"settings.period_ms", s.PeriodMS}, {"settings.length_s", s.LengthS},
-		{"settings.bans", float64(s.Bans)}, {"settings.classes", float64(s.Classes)},
+		{"settings.bans", float64(s.Bans)}, {"settings.classes", float64(s.Classes)}, {"settings.numbers", float64(s.Numbers)},
 	} {
 		if err := checkNumber(one.place, one.value); err != nil {
 			return err
--- a/internal/rig/scale/fit/fit.go
+++ b/internal/rig/scale/fit/fit.go
@@ -58,6 +58,8 @@
 	Voters      int     `json:"voters"`
 	Regions     int     `json:"regions"`
 	Series      Series  `json:"series"`
+	Numbers     int     `json:"numbers"`
+	DocumentB   int     `json:"document_bytes"`
 	LengthS     float64 `json:"length_s"`
 	Load        float64 `json:"load"`
 	Cores       int     `json:"cores"`
@@ -116,7 +118,7 @@
 		used = "listed only"
 	}
 	return RunLine{
-		File: f.Name, Members: s.Members, Voters: s.Voters, Regions: s.Regions, Series: seriesOf(s), LengthS: s.LengthS,
+		File: f.Name, Members: s.Members, Voters: s.Voters, Regions: s.Regions, Series: seriesOf(s), Numbers: s.Numbers, DocumentB: s.DocumentB, LengthS: s.LengthS,
 		Load: f.Run.Host.Load, Cores: f.Run.Host.Cores,
 		FalseDeaths: f.Run.Views.FalseDeaths, LeasesLost: f.Run.Leases.LostAwake, Used: used,
 	}
--- a/internal/rig/scale/fit/fit_test.go
+++ b/internal/rig/scale/fit/fit_test.go
@@ -27,6 +27,7 @@
 		Version: result.Version,
 		Settings: result.Settings{
 			Members: members, Voters: 5, Regions: 3, RTTMS: 40, Event: event, LengthS: 30, LeaseS: 3, PeriodMS: 300, Bans: 20, Classes: 10,
+			Numbers: members, DocumentB: 1000 + 40*members,
 		},
 		Host: result.Host{Cores: 8, Load: 3.25},
 		Roles: []result.Usage{{
@@ -208,6 +209,7 @@
 	for i, change := range []func(*result.Settings){
 		func(*result.Settings) {}, func(s *result.Settings) { s.RTTMS = 80 }, func(s *result.Settings) { s.LeaseS = 6 },
 		func(s *result.Settings) { s.PeriodMS = 600 }, func(s *result.Settings) { s.Bans = 40 }, func(s *result.Settings) { s.Classes = 1 },
+		func(s *result.Settings) { s.Numbers = 0 },
 	} {
 		run := syntheticRun("rest", 60, 1)
 		change(&run.Settings)
--- a/internal/rig/scale/fit/markdown.go
+++ b/internal/rig/scale/fit/markdown.go
@@ -63,11 +63,11 @@
 }
 
 func runsText(runs []RunLine) string {
-	t := newTable("Members", "Event", "Round trip (ms)", "Lease (s)", "Period (ms)", "Bans", "Classes", "Voters", "Regions", "Length (s)",
+	t := newTable("Members", "Event", "Round trip (ms)", "Lease (s)", "Period (ms)", "Bans", "Classes", "Numbers", "Document (bytes)", "Voters", "Regions", "Length (s)",
 		"Load (cores)", "False deaths", "Leases lost", "Use", "File")
 	for _, r := range runs {
 		t.row(whole(r.Members), r.Series.Event, digits(r.Series.RTTMS), digits(r.Series.LeaseS), digits(r.Series.PeriodMS), whole(r.Series.Bans),
-			whole(r.Series.Classes), whole(r.Voters), whole(r.Regions), digits(r.LengthS), fmt.Sprintf("%s of %d", digits(r.Load), r.Cores),
+			whole(r.Series.Classes), whole(r.Numbers), whole(r.DocumentB), whole(r.Voters), whole(r.Regions), digits(r.LengthS), fmt.Sprintf("%s of %d", digits(r.Load), r.Cores),
 			whole(r.FalseDeaths), whole(r.LeasesLost), r.Used, r.File)
 	}
 	return t.String()
--- a/internal/rig/scale/fit/series.go
+++ b/internal/rig/scale/fit/series.go
@@ -16,21 +16,40 @@
 	PeriodMS float64 `json:"period_ms"`
 	Bans     int     `json:"bans"`
 	Classes  int     `json:"classes"`
+	// Numbered: the members' own numbers were in the document as the measured part began.
+	Numbered bool `json:"numbered"`
 }
 
 // String is the series for people.
 func (s Series) String() string {
-	return fmt.Sprintf("%s, round trip %s ms, lease %s s, period %s ms, %d bans, %d classes", s.Event, digits(s.RTTMS), digits(s.LeaseS),
-		digits(s.PeriodMS), s.Bans, s.Classes)
+	numbers := "no numbers"
+	if s.Numbered {
+		numbers = "numbers"
+	}
+	return fmt.Sprintf("%s, round trip %s ms, lease %s s, period %s ms, document of %d bans, %d classes and %s", s.Event, digits(s.RTTMS),
+		digits(s.LeaseS), digits(s.PeriodMS), s.Bans, s.Classes, numbers)
 }
 
 func seriesOf(s *result.Settings) Series {
-	return Series{s.Event, s.RTTMS, s.LeaseS, s.PeriodMS, s.Bans, s.Classes}
+	return Series{s.Event, s.RTTMS, s.LeaseS, s.PeriodMS, s.Bans, s.Classes, s.Numbers > 0}
 }
 
 func compareSeries(a, b Series) int {
 	return cmp.Or(cmp.Compare(a.Event, b.Event), cmp.Compare(a.RTTMS, b.RTTMS), cmp.Compare(a.LeaseS, b.LeaseS),
-		cmp.Compare(a.PeriodMS, b.PeriodMS), cmp.Compare(a.Bans, b.Bans), cmp.Compare(a.Classes, b.Classes))
+		cmp.Compare(a.PeriodMS, b.PeriodMS), cmp.Compare(a.Bans, b.Bans), cmp.Compare(a.Classes, b.Classes),
+		compareBool(a.Numbered, b.Numbered))
+}
+
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // leftOut is why a run is not fitted; empty if it is.
