--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -59,6 +59,7 @@
 	f.IntVar(&o.Base, "base", 0, "second byte of the first zone's addresses in 127.0.0.0/8; 0 for one that is free")
 	f.StringVar(&o.Folder, "folder", "", "where the voters' folders are made, to be removed at the end; the system's temporary folder by default")
 	f.StringVar(&out, "out", "", "a file for the result as JSON, beside what is printed")
+	c.AddCommand(e.scaleFitVerb(), e.scaleCallsVerb())
 	return c
 }
 
