--- a/internal/cluster/accord/core.go
+++ b/internal/cluster/accord/core.go
@@ -16,7 +16,7 @@
 	Send(to string, m *Message)
 	// Save makes a record last. Nothing that rests on it has been said before; after an error nothing will be.
 	Save(r *Record) error
-	// Keep makes what this proxy knows last: it is about to say that it has it, and a start that reaches no keeper must know it too.
+	// Keep makes what this proxy knows last: it is about to say that it has it, and a start that reaches no voter must know it too.
 	// Where it fails that is the host's to tell; the proxy goes on.
 	Keep(s *rules.Standing)
 	// Acts replaces what this proxy's acts rest on.
@@ -96,10 +96,10 @@
 	waiting  []*proposal
 	basis    Basis
 
-	keeper *keeper // nil where it is none
+	voter *voter // nil where it is none
 }
 
-// New returns the core of a proxy that starts now. Stored is what its disk holds of a keeper's log.
+// New returns the core of a proxy that starts now. Stored is what its disk holds of a voter's log.
 func New(now time.Duration, s Settings, seed uint64, disk Stored, host Host) (*Core, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
@@ -110,7 +110,7 @@
 		c.standing = *disk.Acts // as what is known without a lease
 	}
 	if slices.Contains(s.Keepers, s.Name) && !s.Later {
-		if err := c.keep(now, disk); err != nil {
+		if err := c.startVoter(now, disk); err != nil {
 			return nil, err
 		}
 	}
@@ -118,20 +118,20 @@
 	return c, nil
 }
 
-// Keep makes a proxy that the settings name a keeper one, where its disk could not be had at the start.
+// Keep makes a proxy that the settings name a voter one, where its disk could not be had at the start.
 func (c *Core) Keep(now time.Duration, disk Stored) error {
 	c.now = now
-	if c.keeper != nil || !slices.Contains(c.set.Keepers, c.set.Name) {
+	if c.voter != nil || !slices.Contains(c.set.Keepers, c.set.Name) {
 		return nil
 	}
-	return c.keep(now, disk)
+	return c.startVoter(now, disk)
 }
 
 // Keeps says whether this proxy holds the log now.
-func (c *Core) Keeps() bool { return c.keeper != nil && !c.keeper.halted }
+func (c *Core) Keeps() bool { return c.voter != nil && !c.voter.halted }
 
-// Leads says whether this proxy leads the keepers, and has since its log says so.
-func (c *Core) Leads() bool { return c.Keeps() && c.keeper.own }
+// Leads says whether this proxy leads the voters, and has since its log says so.
+func (c *Core) Leads() bool { return c.Keeps() && c.voter.ownTermApplied }
 
 // Next is when Wake is to be called at the latest.
 func (c *Core) Next() time.Duration {
@@ -142,8 +142,8 @@
 	for _, p := range c.waiting {
 		next = min(next, p.next)
 	}
-	if c.keeper != nil {
-		next = min(next, c.keeper.next())
+	if c.voter != nil {
+		next = min(next, c.voter.nextWake())
 	}
 	return next
 }
@@ -163,22 +163,22 @@
 			c.toLeader(&Message{Kind: Propose, From: c.set.Name, Change: &p.change})
 		}
 	}
-	if c.keeper != nil {
-		c.keeper.wake()
+	if c.voter != nil {
+		c.voter.wake()
 	}
 }
 
-// guard ends this proxy's part as a keeper where the log's library finds what it holds to be impossible, and panics.
+// guard ends this proxy's part as a voter where the log's library finds what it holds to be impossible, and panics.
 //
-// It guards serving against a folder that is older than what it has said, and against whoever sends what no keeper would. It costs
-// a keeper, until that is restarted, where the fault was the network's; and it must not hide faults of this package, so what was
+// It guards serving against a folder that is older than what it has said, and against whoever sends what no voter would. It costs
+// a voter, until that is restarted, where the fault was the network's; and it must not hide faults of this package, so what was
 // found is told.
 func (c *Core) guard() {
 	if r := recover(); r != nil {
-		if c.keeper == nil || c.keeper.halted {
+		if c.voter == nil || c.voter.halted {
 			panic(r) // not the log's
 		}
-		c.keeper.halt(fmt.Errorf("accord: the log: %v", r))
+		c.voter.halt(fmt.Errorf("accord: the log: %v", r))
 	}
 }
 
@@ -228,15 +228,15 @@
 	return false
 }
 
-// first is to whom something for the leader goes first: where that worked, or the leader that this keeper knows, or any
-// keeper; and after some misses through another proxy, which may reach them.
+// first is to whom something for the leader goes first: where that worked, or the leader that this voter knows, or any
+// voter; and after some misses through another proxy, which may reach them.
 func (c *Core) first() string {
 	if c.route != "" {
 		return c.route
 	}
-	if k := c.keeper; k != nil {
+	if v := c.voter; v != nil {
 		// Who leads asks itself: others would pass its request back to it, and drop it for that.
-		if name := k.leader(); name == c.set.Name || name != "" && c.missed%2 == 0 {
+		if name := v.leader(); name == c.set.Name || name != "" && c.missed%2 == 0 {
 			return name
 		}
 	}
@@ -286,23 +286,23 @@
 	p := &proposal{change: change, next: now + c.set.Times.Renew, until: now + proposalTime}
 	c.waiting = append(c.waiting, p)
 	c.toLeader(&Message{Kind: Propose, From: c.set.Name, Change: &p.change})
-	if c.keeper != nil {
-		c.keeper.pump()
+	if c.voter != nil {
+		c.voter.processReady()
 	}
 	return nil
 }
 
-// Refound has this keeper go on alone with what it holds, in place of a majority that is lost for good. What the others had
+// Refound has this voter go on alone with what it holds, in place of a majority that is lost for good. What the others had
 // agreed on without it is lost, and what it had heard of and they had not agreed on stands. Keepers of before that come back begin
 // anew once they hear of it; until then they could grant leases on the old rules.
 func (c *Core) Refound(now time.Duration) error {
 	c.now = now
-	if c.keeper == nil || c.keeper.halted || c.keeper.fresh {
+	if c.voter == nil || c.voter.halted || c.voter.empty {
 		return errors.New("accord: this proxy is no keeper, or holds nothing that could be gone on from")
 	}
-	err := c.keeper.refound()
+	err := c.voter.refound()
 	if err == nil {
-		c.keeper.pump()
+		c.voter.processReady()
 	}
 	return err
 }
@@ -312,15 +312,15 @@
 	c.now = now
 	defer c.guard()
 	c.handle(m)
-	if c.keeper != nil {
-		c.keeper.pump()
+	if c.voter != nil {
+		c.voter.processReady()
 	}
 }
 
 func (c *Core) handle(m *Message) {
 	switch m.Kind {
 	case Renew, Propose, Have:
-		if c.keeper != nil && c.keeper.takes(m) {
+		if c.voter != nil && c.voter.handleRequest(m) {
 			return
 		}
 		c.passOn(m)
@@ -338,8 +338,8 @@
 			c.result(m.Answer)
 		}
 	case Raft, Hello:
-		if c.keeper != nil {
-			c.keeper.receive(m)
+		if c.voter != nil {
+			c.voter.receive(m)
 		}
 	}
 }
@@ -350,8 +350,8 @@
 		return
 	}
 	to := c.route
-	if c.keeper != nil {
-		to = c.keeper.leader()
+	if c.voter != nil {
+		to = c.voter.leader()
 	} else if to == "" {
 		to = c.set.Keepers[c.rng.IntN(len(c.set.Keepers))]
 	}
@@ -396,7 +396,7 @@
 	a := c.sent[i]
 	if m.Standing != nil {
 		if m.Standing.Reign < c.standing.Reign {
-			return // from keepers that do not know yet that they were given up for good
+			return // from voters that do not know yet that they were given up for good
 		}
 		if !c.understands(m.Standing) {
 			return
@@ -471,7 +471,7 @@
 	Keepers  map[string]bool // those that the log names, and whether each votes; nil at a proxy that holds no log
 	Halted   bool
 	Holders  []Holder        // at the leader, by name
-	History  []rules.Version // at a keeper
+	History  []rules.Version // at a voter
 }
 
 // Holder is a proxy as the leader sees it.
@@ -484,8 +484,8 @@
 // Report says how this proxy stands.
 func (c *Core) Report(now time.Duration) Report {
 	r := Report{Standing: c.standing, Basis: c.basis, Leader: c.route}
-	if c.keeper != nil {
-		c.keeper.report(now, &r)
+	if c.voter != nil {
+		c.voter.report(now, &r)
 	}
 	return r
 }
--- a/internal/cluster/accord/membership.go
+++ b/internal/cluster/accord/membership.go
@@ -12,183 +12,183 @@
 	"brasswell/internal/cluster/rules"
 )
 
-// This file is about who the keepers are: how the log is founded, and how one that has lost its folder gets a new place in it.
+// This file is about who the voters are: how the log is founded, and how one that has lost its folder gets a new place in it.
 //
-// A log has an id of its own, drawn when it is begun, and the log of the keepers names ids, not names. So a keeper that comes back
+// A log has an id of its own, drawn when it is begun, and the log of the voters names ids, not names. So a voter that comes back
 // with an empty folder is another one, which votes for nothing until the others have taken it in; it never votes a second time
 // in an election in which the lost folder has voted.
 
-// sayHello tells the other keepers who this one is, as long as one of them is not known to hold the log.
-func (k *keeper) sayHello() {
-	for _, name := range k.c.set.Keepers {
-		if name != k.c.set.Name {
-			k.c.host.Send(name, k.helloTo(name, false))
+// sendHellos tells the other voters who this one is, as long as one of them is not known to hold the log.
+func (v *voter) sendHellos() {
+	for _, name := range v.c.set.Keepers {
+		if name != v.c.set.Name {
+			v.c.host.Send(name, v.helloTo(name, false))
 		}
 	}
 }
 
-func (k *keeper) helloTo(name string, reply bool) *Message {
-	m := &Message{Kind: Hello, From: k.c.set.Name, To: name, Store: k.id, Empty: k.fresh, Reply: reply, Reign: k.state.Rules.Reign, Form: k.c.set.form()}
-	if p := k.known[name]; p != nil && k.leads {
-		if progress, there := k.raft.Status().Progress[p.store]; there {
+func (v *voter) helloTo(name string, reply bool) *Message {
+	m := &Message{Kind: Hello, From: v.c.set.Name, To: name, Store: v.id, Empty: v.empty, Reply: reply, Reign: v.state.Rules.Reign, Form: v.c.set.form()}
+	if p := v.peers[name]; p != nil && v.leads {
+		if progress, there := v.raft.Status().Progress[p.store]; there {
 			m.Match = progress.Match
 		}
 	}
 	return m
 }
 
-// hello takes in who another keeper is.
-func (k *keeper) hello(m *Message) {
-	if !slices.Contains(k.c.set.Keepers, m.From) || m.Store == 0 || m.From == k.c.set.Name {
+// handleHello takes in who another voter is.
+func (v *voter) handleHello(m *Message) {
+	if !slices.Contains(v.c.set.Keepers, m.From) || m.Store == 0 || m.From == v.c.set.Name {
 		return
 	}
-	if m.Reign > k.state.Rules.Reign && !m.Empty && !k.fresh {
-		k.c.host.Told(GivenUp, Note{Name: m.From})
-		k.forget()
+	if m.Reign > v.state.Rules.Reign && !m.Empty && !v.empty {
+		v.c.host.Told(GivenUp, Note{Name: m.From})
+		v.startOver()
 		return
 	}
-	p := k.known[m.From]
+	p := v.peers[m.From]
 	if p == nil {
 		p = &peer{}
-		k.known[m.From] = p
+		v.peers[m.From] = p
 	}
-	delete(k.byLog, p.store)
-	k.byLog[m.Store] = m.From
+	delete(v.byLog, p.store)
+	v.byLog[m.Store] = m.From
 	// A log that speaks under a name whose other log was just heard waits: two processes may go by one name.
-	if agreed := k.state.Keepers[m.From]; agreed != 0 && p.store == agreed && m.Store != agreed && k.c.now-p.heard < replaceAfter*k.c.set.Times.Election {
+	if agreed := v.state.Keepers[m.From]; agreed != 0 && p.store == agreed && m.Store != agreed && v.c.now-p.heard < replaceAfter*v.c.set.Times.Election {
 		return
 	}
-	*p = peer{store: m.Store, empty: m.Empty, form: m.Form, heard: k.c.now}
-	if last, _ := k.log.LastIndex(); m.Match > last {
-		k.forget()
+	*p = peer{store: m.Store, empty: m.Empty, form: m.Form, heard: v.c.now}
+	if last, _ := v.log.LastIndex(); m.Match > last {
+		v.startOver()
 		return
 	}
 	if !m.Reply {
-		k.c.host.Send(m.From, k.helloTo(m.From, true))
+		v.c.host.Send(m.From, v.helloTo(m.From, true))
 	}
 }
 
-// found begins the keepers' log, at the first of them, once all others have said that they hold none. It is a log of one that
+// foundIfDue begins the voters' log, at the first of them, once all others have said that they hold none. It is a log of one that
 // takes the others in, as it does with those that come later: there is no second way for a log to begin.
-func (k *keeper) found() {
-	s := &k.c.set
-	if !k.fresh || s.Keepers[0] != s.Name {
+func (v *voter) foundIfDue() {
+	s := &v.c.set
+	if !v.empty || s.Keepers[0] != s.Name {
 		return
 	}
 	for _, name := range s.Keepers[1:] {
-		if p := k.known[name]; p == nil || !p.empty || k.c.now-p.heard > replaceAfter*s.Times.Election {
+		if p := v.peers[name]; p == nil || !p.empty || v.c.now-p.heard > replaceAfter*s.Times.Election {
 			return
 		}
 	}
-	if err := k.install(rules.NewState()); err != nil {
-		k.halt(err)
+	if err := v.install(rules.NewState()); err != nil {
+		v.halt(err)
 		return
 	}
-	k.c.host.Told(Founded, Note{Name: s.Name})
+	v.c.host.Told(Founded, Note{Name: s.Name})
 }
 
 // refound goes on alone under the next reign. All that is in the log counts, agreed or not: it may have been acknowledged.
-func (k *keeper) refound() error {
-	last, err := k.log.LastIndex()
+func (v *voter) refound() error {
+	last, err := v.log.LastIndex()
 	if err != nil {
 		return fmt.Errorf("accord: %w", err)
 	}
-	if last > k.applied {
-		rest, err := k.log.Entries(k.applied+1, last+1, 1<<63)
+	if last > v.applied {
+		rest, err := v.log.Entries(v.applied+1, last+1, 1<<63)
 		if err != nil {
 			return fmt.Errorf("accord: %w", err)
 		}
-		k.leads = false
+		v.leads = false
 		for _, e := range rest {
 			cmd := &command{}
 			if e.GetType() == raftpb.EntryNormal && len(e.Data) > 0 && reading.Unmarshal(e.Data, cmd) == nil {
-				k.command(cmd)
+				v.execute(cmd)
 			}
 		}
 	}
-	state := k.state.Rules.Clone()
+	state := v.state.Rules.Clone()
 	state.Reign++
-	k.id = k.c.rng.Uint64() | 1
-	if err := k.install(state); err != nil {
-		k.halt(err)
+	v.id = v.c.rng.Uint64() | 1
+	if err := v.install(state); err != nil {
+		v.halt(err)
 		return err
 	}
-	k.c.host.Told(Refounded, Note{Name: k.c.set.Name})
+	v.c.host.Told(Refounded, Note{Name: v.c.set.Name})
 	return nil
 }
 
-// install begins a log of one with a state, under this keeper's present id.
-func (k *keeper) install(state *rules.State) error {
-	state.Log = k.id
-	text, err := cbor.Marshal(&keptState{Rules: state, Keepers: map[string]uint64{k.c.set.Name: k.id}})
+// install begins a log of one with a state, under this voter's present id.
+func (v *voter) install(state *rules.State) error {
+	state.Log = v.id
+	text, err := cbor.Marshal(&replicatedState{Rules: state, Keepers: map[string]uint64{v.c.set.Name: v.id}})
 	if err != nil {
 		return err
 	}
 	index, term := uint64(1), uint64(1)
 	snapshot := &raftpb.Snapshot{Data: text, Metadata: &raftpb.SnapshotMetadata{
-		ConfState: &raftpb.ConfState{Voters: []uint64{k.id}}, Index: &index, Term: &term,
+		ConfState: &raftpb.ConfState{Voters: []uint64{v.id}}, Index: &index, Term: &term,
 	}}
 	hard := &raftpb.HardState{Term: &term, Commit: &index}
-	if err := k.c.host.Save(&Record{Store: k.id, Hard: hard, Snapshot: snapshot, Install: true}); err != nil {
+	if err := v.c.host.Save(&Record{Store: v.id, Hard: hard, Snapshot: snapshot, Install: true}); err != nil {
 		return err
 	}
-	k.role(false)
-	k.lead = 0
-	if err := k.load(Stored{Store: k.id, Hard: hard, Snapshot: snapshot}); err != nil {
+	v.setRole(false)
+	v.lead = 0
+	if err := v.load(Stored{Store: v.id, Hard: hard, Snapshot: snapshot}); err != nil {
 		return err
 	}
-	return k.raft.Campaign()
+	return v.raft.Campaign()
 }
 
-// membership takes in keepers that the settings name, one at a time and first as learners, which vote for nothing until they
+// membership takes in voters that the settings name, one at a time and first as learners, which vote for nothing until they
 // have the log; and takes out the logs that they come in place of.
-func (k *keeper) membership() {
-	if !k.own {
+func (v *voter) membership() {
+	if !v.ownTermApplied {
 		return
 	}
-	status := k.raft.Status()
-	voters, learners := k.conf.GetVoters(), k.conf.GetLearners()
+	status := v.raft.Status()
+	voters, learners := v.conf.GetVoters(), v.conf.GetLearners()
 	for _, id := range learners {
-		if p, there := status.Progress[id]; there && p.Match > 0 && p.Match+8 >= k.applied {
-			k.propose1(raftpb.ConfChangeAddNode, id, k.name(id))
+		if p, there := status.Progress[id]; there && p.Match > 0 && p.Match+8 >= v.applied {
+			v.proposeConfChange(raftpb.ConfChangeAddNode, id, v.name(id))
 			return
 		}
 	}
 	if len(learners) > 0 {
 		// One at a time; but one that is gone before it had the log must not keep its name from the next.
 		id := learners[0]
-		if p := k.known[k.name(id)]; p != nil && p.store != id {
-			k.propose1(raftpb.ConfChangeRemoveNode, id, k.name(id))
+		if p := v.peers[v.name(id)]; p != nil && p.store != id {
+			v.proposeConfChange(raftpb.ConfChangeRemoveNode, id, v.name(id))
 		}
 		return
 	}
-	for _, name := range k.c.set.Keepers {
-		p, agreed := k.known[name], k.state.Keepers[name]
-		if name == k.c.set.Name || p == nil || p.store == agreed || k.c.now-p.heard > replaceAfter*k.c.set.Times.Election {
+	for _, name := range v.c.set.Keepers {
+		p, agreed := v.peers[name], v.state.Keepers[name]
+		if name == v.c.set.Name || p == nil || p.store == agreed || v.c.now-p.heard > replaceAfter*v.c.set.Times.Election {
 			continue
 		}
 		switch {
 		case slices.Contains(voters, agreed) && len(voters) > 1:
-			k.propose1(raftpb.ConfChangeRemoveNode, agreed, name)
+			v.proposeConfChange(raftpb.ConfChangeRemoveNode, agreed, name)
 		case p.empty:
-			k.propose1(raftpb.ConfChangeAddLearnerNode, p.store, name)
+			v.proposeConfChange(raftpb.ConfChangeAddLearnerNode, p.store, name)
 		}
 		return
 	}
 }
 
-func (k *keeper) propose1(kind raftpb.ConfChangeType, id uint64, name string) {
-	k.raft.ProposeConfChange(&raftpb.ConfChange{Type: &kind, NodeId: &id, Context: []byte(name)}) // one that fails is tried again
+func (v *voter) proposeConfChange(kind raftpb.ConfChangeType, id uint64, name string) {
+	v.raft.ProposeConfChange(&raftpb.ConfChange{Type: &kind, NodeId: &id, Context: []byte(name)}) // one that fails is tried again
 }
 
-// changeConf takes in an agreed change of the keepers.
-func (k *keeper) changeConf(cc *raftpb.ConfChange) {
-	k.conf = k.raft.ApplyConfChange(cc)
+// changeConf takes in an agreed change of the voters.
+func (v *voter) changeConf(cc *raftpb.ConfChange) {
+	v.conf = v.raft.ApplyConfChange(cc)
 	name, id := string(cc.Context), cc.GetNodeId()
 	if cc.GetNodeId() == 0 || name == "" {
 		return // another was under way, and this one came to nothing
 	}
-	state := &keptState{Rules: k.state.Rules, Keepers: maps.Clone(k.state.Keepers)}
+	state := &replicatedState{Rules: v.state.Rules, Keepers: maps.Clone(v.state.Keepers)}
 	if cc.GetType() == raftpb.ConfChangeRemoveNode {
 		if state.Keepers[name] == id {
 			delete(state.Keepers, name)
@@ -196,13 +196,13 @@
 	} else {
 		state.Keepers[name] = id
 	}
-	k.state = state
+	v.state = state
 	if cc.GetType() == raftpb.ConfChangeAddLearnerNode {
 		// A log takes no snapshot that does not name it, so there has to be one that does.
-		if err := k.cut(); err != nil {
-			k.halt(err)
+		if err := v.takeSnapshot(); err != nil {
+			v.halt(err)
 			return
 		}
 	}
-	k.c.host.Told(Changed, Note{Name: name})
+	v.c.host.Told(Changed, Note{Name: name})
 }
--- a/internal/cluster/accord/types.go
+++ b/internal/cluster/accord/types.go
@@ -2,9 +2,9 @@
 // has. It has no I/O and no clock: events with their time go in, actions come out, and equal settings, seed and events give
 // equal actions. It is not safe for concurrent use, but for Basis, which does not change.
 //
-// A few proxies, the keepers, hold the rules in a log that a majority of them agrees on (Raft, Ongaro and Ousterhout 2014; the
+// A few proxies, the voters, hold the rules in a log that a majority of them agrees on (Raft, Ongaro and Ousterhout 2014; the
 // library go.etcd.io/raft/v3, whose core is as pure as this one). Every proxy holds a lease (Gray and Cheriton 1989) from the
-// keepers' leader, which names the versions that it was granted with. A change takes two steps: it is on its way, when every proxy
+// voters' leader, which names the versions that it was granted with. A change takes two steps: it is on its way, when every proxy
 // acts on the meet of old and new, and it is in force, once each proxy with a lease has said that it has the change, or its
 // lease has run out. docs/design/accord.md says why, and what follows for clocks.
 package accord
@@ -47,7 +47,7 @@
 // Awake is how long after a renewal that went unanswered a proxy knows that it has been running.
 func (t Times) Awake() time.Duration { return 4 * t.Renew }
 
-// Bound is the stated time: once a change is agreed, no proxy that hears the keepers or holds a lease acts against it after so
+// Bound is the stated time: once a change is agreed, no proxy that hears the voters or holds a lease acts against it after so
 // long, with the leader lost meanwhile.
 func (t Times) Bound() time.Duration {
 	// A leader is lost at once after the change was agreed; the next is elected within two tries' time, waits for the leases
@@ -77,7 +77,7 @@
 	Boot    uint64   // drawn at each start: two processes of one proxy hold a lease each
 	Keepers []string // by name, the same at all; the first founds
 	Times   Times
-	// Later: where this proxy is a keeper, Keep is called once its disk can be had.
+	// Later: where this proxy is a voter, Keep is called once its disk can be had.
 	Later bool
 	// Refuse: without a lease nothing is served. Otherwise it goes on with what is known, and repeats nothing.
 	Refuse bool
@@ -129,8 +129,8 @@
 	Have                           // says what the sender acts on
 	Propose                        // asks the leader for a change
 	Result                         // says what became of it
-	Raft                           // is a message between keepers' logs
-	Hello                          // says who a keeper is
+	Raft                           // is a message between voters' logs
+	Hello                          // says who a voter is
 	lastMessage
 )
 
@@ -219,23 +219,23 @@
 	return m, m.Sound()
 }
 
-// Record is what a keeper has to have on disk before anything that rests on it is said. A nil or empty part stays as it is.
+// Record is what a voter has to have on disk before anything that rests on it is said. A nil or empty part stays as it is.
 type Record struct {
 	Store    uint64 // the id of the log; a record with another one begins a log anew
 	Hard     *raftpb.HardState
 	Entries  []*raftpb.Entry // replace all from the first one's index on
 	Snapshot *raftpb.Snapshot
-	Install  bool   // the snapshot comes from another keeper, in place of all entries
+	Install  bool   // the snapshot comes from another voter, in place of all entries
 	Compact  uint64 // entries up to this index are no longer needed; 0 for none
 }
 
-// Stored is what a disk holds of a keeper. The zero value is that of an empty one.
+// Stored is what a disk holds of a voter. The zero value is that of an empty one.
 type Stored struct {
 	Store    uint64
 	Hard     *raftpb.HardState
 	Entries  []*raftpb.Entry
 	Snapshot *raftpb.Snapshot
-	Acts     *rules.Standing // what the proxy last acted on; also at one that is no keeper
+	Acts     *rules.Standing // what the proxy last acted on; also at one that is no voter
 }
 
 // Take makes a record part of what is stored, as a disk does.
@@ -286,8 +286,8 @@
 
 // The modes.
 const (
-	Leased Mode = iota // on rules that the keepers vouch for
-	Alone              // on what it knows, carefully: no keeper has been heard for as long as a lease lasts
+	Leased Mode = iota // on rules that the voters vouch for
+	Alone              // on what it knows, carefully: no voter has been heard for as long as a lease lasts
 	Away               // on nothing: it was paused, has just started, or is to refuse
 )
 
