rules, accord: changes go out as differences, proven by a digest

A leader sends those who say that they understand it what makes its newest standing from theirs; who differs in what results takes nothing, asks for the whole and holds no lease meanwhile. Renewals and grants carry a digest of what is had and vouched for, so that a disk that holds another document under the right number is found too. Documents get a Form 2 with room for 4,096 numbers and 512 classes; what keeps to the old bounds needs Form 1 as before. Parts that do not change are shared between versions, also by their meet.

--- a/internal/cluster/accord/core.go
+++ b/internal/cluster/accord/core.go
@@ -42,6 +42,7 @@
 	Changed   Event = "keepers changed"
 	Refounded Event = "goes on alone, in place of the other keepers"
 	Later     Event = "the agreed rules are of a later version of the program; this one acts carefully and holds no lease until it is upgraded"
+	Differs   Event = "what is acted on here is not what the voters have under the same number; the whole is asked for"
 	GivenUp   Event = "was given up for good while it was away; begins anew"
 )
 
@@ -84,17 +85,21 @@
 
 	// As a holder of a lease:
 	standing rules.Standing // version 0 while nothing is known
-	until    time.Duration
-	tested   time.Duration
-	renew    time.Duration // when it is next asked for
-	sent     []asked       // the oldest first
-	later    bool          // a standing was of a form that is not understood, and that has been told
-	seq      uint64
-	route    string // to whom a renewal went that was answered; "" for none
-	missed   int    // renewals in a row that were not
-	peers    []string
-	waiting  []*proposal
-	basis    Basis
+	digest   rules.Digest   // of the standing
+	verified bool           // the standing has come from voters since the start, whole or proven by its digest
+	// needsWhole: what is known here was found to differ from what others know by the same number.
+	needsWhole bool
+	until      time.Duration
+	tested     time.Duration
+	renew      time.Duration // when it is next asked for
+	sent       []asked       // the oldest first
+	later      bool          // a standing was of a form that is not understood, and that has been told
+	seq        uint64
+	route      string // to whom a renewal went that was answered; "" for none
+	missed     int    // renewals in a row that were not
+	peers      []string
+	waiting    []*proposal
+	basis      Basis
 
 	voter *voter // nil where it is none
 }
@@ -107,7 +112,9 @@
 	c := &Core{set: s, host: host, rng: rand.New(rand.NewPCG(seed, 0xacc0)), now: now, until: now - 1, tested: -1, renew: now}
 	c.seq = c.rng.Uint64() >> 1
 	if disk.Acts != nil {
-		c.standing = *disk.Acts // as what is known without a lease
+		c.standing = *disk.Acts.Share() // as what is known without a lease
+		c.standing.Compact()
+		c.digest = c.standing.Digest()
 	}
 	if slices.Contains(s.Keepers, s.Name) && !s.Later {
 		if err := c.startVoter(now, disk); err != nil {
@@ -211,19 +218,23 @@
 	if c.sent = append(c.sent, asked{c.seq, c.now, to}); len(c.sent) > mostSent {
 		c.sent = c.sent[1:]
 	}
-	c.send(to, &Message{Kind: Renew, From: c.set.Name, Boot: c.set.Boot, Seq: c.seq, Holds: c.holds(), Form: c.set.form()})
+	m := &Message{Kind: Renew, From: c.set.Name, Boot: c.set.Boot, Seq: c.seq, Holds: c.holds(), Form: c.set.form()}
+	if !c.set.NoDeltas {
+		m.Deltas, m.Whole, m.Digest = true, c.needsWhole, c.digest
+	}
+	c.send(to, m)
 }
 
 // understands says whether a standing is of a form that this program knows. What it does not know forbids something, so it must not
 // act on the rest as if that were all.
-func (c *Core) understands(s *rules.Standing) bool {
-	if s.Form <= c.set.form() {
+func (c *Core) understands(form uint8, at rules.Position) bool {
+	if form <= c.set.form() {
 		c.later = false
 		return true
 	}
 	if !c.later {
 		c.later = true
-		c.host.Told(Later, Note{InForce: s.InForce.Number, Last: s.Last()})
+		c.host.Told(Later, Note{InForce: at.InForce, Last: at.Last})
 	}
 	return false
 }
@@ -283,6 +294,7 @@
 	if len(c.waiting) >= mostProposals {
 		return fmt.Errorf("accord: %d proposals wait for their answers", len(c.waiting))
 	}
+	change.Form = max(change.Form, change.Needs())
 	p := &proposal{change: change, next: now + c.set.Times.Renew, until: now + proposalTime}
 	c.waiting = append(c.waiting, p)
 	c.toLeader(&Message{Kind: Propose, From: c.set.Name, Change: &p.change})
@@ -333,7 +345,7 @@
 		case Grant:
 			c.granted(m)
 		case Tell:
-			c.adopt(m.Standing)
+			c.told(m)
 		case Result:
 			c.result(m.Answer)
 		}
@@ -391,24 +403,34 @@
 func (c *Core) granted(m *Message) {
 	i := slices.IndexFunc(c.sent, func(a asked) bool { return a.seq == m.Seq })
 	if i < 0 {
-		return // too late, or never asked
+		c.told(m) // too late for a lease, or never asked; what it brings is as good as if it came by itself
+		return
 	}
 	a := c.sent[i]
-	if m.Standing != nil {
+	if m.Digest != 0 && m.Holds == c.holds() && m.Digest != c.digest && !c.set.NoDigest {
+		c.differs()
+	}
+	switch {
+	case m.Standing != nil:
 		if m.Standing.Reign < c.standing.Reign {
 			return // from voters that do not know yet that they were given up for good
 		}
-		if !c.understands(m.Standing) {
+		if !c.understands(m.Standing.Form, m.Standing.Position()) {
 			return
 		}
 		if m.Standing.Log != c.standing.Log {
 			c.take(m.Standing) // a majority vouches for it, and what is here is of another log
 		}
 		c.adopt(m.Standing)
+	case m.Delta != nil:
+		c.applyDelta(m.Delta)
 	}
 	if h := c.holds(); h.Log != m.Holds.Log || h.Last < m.Holds.Last || h.InForce < m.Holds.InForce && h.Last == m.Holds.Last {
 		return // it vouches for what this proxy does not have
 	}
+	if !c.vouchedFor(m) {
+		return
+	}
 	c.sent = slices.Delete(c.sent, 0, i+1)
 	c.route, c.missed = a.to, 0
 	if until := a.at + c.set.Times.Lease; until > c.until {
@@ -417,20 +439,73 @@
 	}
 }
 
-// adopt acts on a newer standing, and says so.
+// vouchedFor says whether a grant vouches for the content of what this proxy has, and not by its number alone: a disk may hold
+// another document under that.
+func (c *Core) vouchedFor(m *Message) bool {
+	switch {
+	case m.Digest == 0 || c.set.NoDigest || c.set.NoDeltas:
+		return true // the leader knows of no digests
+	case m.Holds != c.holds():
+		return c.verified // more has come since, by others' word
+	case m.Standing != nil:
+		return true // what is here is what the grant has brought
+	}
+	return m.Digest == c.digest
+}
+
+// told takes in what a leader has brought, without a lease.
+func (c *Core) told(m *Message) {
+	switch {
+	case m.Standing != nil:
+		c.adopt(m.Standing)
+	case m.Delta != nil:
+		c.applyDelta(m.Delta)
+	}
+}
+
+// adopt acts on a standing that is newer, or that mends what is here, and says so.
 func (c *Core) adopt(s *rules.Standing) {
-	if !s.NewerThan(&c.standing) || !c.understands(s) {
+	mends := c.needsWhole && s.Position() == c.standing.Position()
+	if !mends && !s.NewerThan(&c.standing) || !c.understands(s.Form, s.Position()) {
 		return
 	}
 	c.take(s)
 }
 
+// applyDelta acts on what a delta leads to, if that is newer. Where its base is not here nothing is taken: the next renewal says what
+// is here. Where what results is not what the leader has, the next renewal asks for the whole.
+func (c *Core) applyDelta(d *rules.Delta) {
+	if c.set.NoDeltas || d.Log != c.standing.Log || !d.NewerThan(&c.standing) || !c.understands(d.Form, d.Position()) {
+		return
+	}
+	next, err := rules.Apply(&c.standing, d)
+	if errors.Is(err, rules.ErrDigest) && c.set.NoDigest {
+		err = nil
+	}
+	switch {
+	case err == nil:
+		c.take(next)
+	case !errors.Is(err, rules.ErrBase):
+		c.differs()
+	}
+}
+
+// differs notes that what is here is not what the leader has by the same numbers.
+func (c *Core) differs() {
+	if !c.needsWhole {
+		c.needsWhole = true
+		c.host.Told(Differs, Note{InForce: c.standing.InForce.Number, Last: c.standing.Last()})
+	}
+}
+
 func (c *Core) take(s *rules.Standing) {
-	c.standing = *s
+	c.standing, c.digest = *s, s.Digest()
+	c.verified, c.needsWhole = true, false
+	c.basis.Doc = nil // also where the numbers are the same, the content may be another
 	c.publish()
 	c.host.Keep(s)
 	c.host.Told(Learned, Note{InForce: s.InForce.Number, Last: s.Last()})
-	c.toLeader(&Message{Kind: Have, From: c.set.Name, Boot: c.set.Boot, Holds: c.holds()})
+	c.toLeader(&Message{Kind: Have, From: c.set.Name, Boot: c.set.Boot, Holds: c.holds(), Deltas: !c.set.NoDeltas})
 }
 
 // result takes in what became of a proposal.
--- a/internal/cluster/accord/leases.go
+++ b/internal/cluster/accord/leases.go
@@ -30,37 +30,54 @@
 	holds        Holds
 	form         uint8
 	stalledSince time.Duration // since when it asks with the same and has been told of more; 0 if it does not
+	deltas       bool          // it understands differences
+	needsWhole   bool          // it has asked for the whole, or what it has differs from what is here
+	wholeSent    time.Duration // when the whole last went to it; 0 for never
+}
+
+// leaseOf is what is known of who asks; nil where no more can be remembered.
+func (v *voter) leaseOf(m *Message) *lease {
+	who := holder{m.From, m.Boot}
+	l := v.leases[who]
+	if l == nil && len(v.leases) < mostHolders {
+		l = &lease{}
+		v.leases[who] = l
+	}
+	return l
 }
 
 // grant gives a proxy a lease on what is applied here, and with it what it lacks.
 func (v *voter) grant(m *Message) {
-	l := v.leases[holder{m.From, m.Boot}]
+	l := v.leaseOf(m)
 	if l == nil {
-		if len(v.leases) >= mostHolders {
-			return // it goes on without one
-		}
-		l = &lease{}
-		v.leases[holder{m.From, m.Boot}] = l
+		return // it goes on without one
 	}
-	l.form = m.Form
 	s, now := &v.state.Rules.Standing, v.c.now
+	current := holdsOf(s)
+	l.form, l.deltas = m.Form, m.Deltas && !v.c.set.NoDeltas
+	l.needsWhole = m.Whole || l.deltas && v.differs(m)
 	switch {
 	case s.Form > max(m.Form, 1):
-		v.c.answer(m, &Message{Kind: Tell, Standing: s.Share()}) // it says so to its operators
+		v.c.answer(m, &Message{Kind: Tell, Standing: outline(s)}) // it says so to its operators
 		return
-	case m.Holds == holdsOf(s):
+	case m.Holds == current:
 		l.stalledSince = 0
 	case l.stalledSince == 0 || m.Holds != l.holds:
 		l.stalledSince = now
 	case now-l.stalledSince > v.c.set.Times.Lease/2:
 		// It is heard and hears nothing. With a lease that it does not know of it would keep every change from being in force.
-		v.c.answer(m, &Message{Kind: Tell, Standing: s.Share()})
+		if tell := (&Message{Kind: Tell}); v.bring(tell, l, m.Holds) {
+			v.c.answer(m, tell)
+		}
 		return
 	}
 	l.until, l.holds = now+v.c.set.Times.Guard(), m.Holds
-	g := &Message{Kind: Grant, Seq: m.Seq, Holds: holdsOf(s)}
-	if m.Holds != g.Holds {
-		g.Standing = s.Share()
+	g := &Message{Kind: Grant, Seq: m.Seq, Holds: current}
+	if l.deltas {
+		g.Digest = v.differences().digest
+	}
+	if m.Holds != current || l.needsWhole {
+		v.bring(g, l, m.Holds) // without it the grant is of use where what was sent before has arrived meanwhile
 	}
 	v.c.answer(m, g)
 }
@@ -86,16 +103,7 @@
 	if now < v.electedAt+t.Guard() && !v.c.set.NoWait {
 		return // a leader before this one may have granted leases that this one knows nothing of
 	}
-	upTo := s.Last()
-	for _, l := range v.leases {
-		if l.until < now {
-			continue
-		}
-		if l.holds.Log != s.Log {
-			return
-		}
-		upTo = min(upTo, l.holds.Last)
-	}
+	upTo := v.heldByAll()
 	if v.c.set.NoPrepared {
 		upTo = s.Last()
 	}
@@ -104,12 +112,41 @@
 	}
 }
 
+// heldByAll is the newest version that all with a lease have said they have; 0 where some have none that is not in force.
+func (v *voter) heldByAll() uint64 {
+	s := &v.state.Rules.Standing
+	if v.blocks(v.slowest) {
+		return 0 // each of many acknowledgements asks, and the one that is waited for has not come
+	}
+	upTo := s.Last()
+	for _, l := range v.leases {
+		if v.blocks(l) {
+			v.slowest = l
+			return 0
+		}
+		if l.until >= v.c.now {
+			upTo = min(upTo, l.holds.Last)
+		}
+	}
+	return upTo
+}
+
+// blocks says whether a holder, which may be nil, stands against every version that is on its way.
+func (v *voter) blocks(l *lease) bool {
+	s := &v.state.Rules.Standing
+	return l != nil && l.until >= v.c.now && (l.holds.Log != s.Log || l.holds.Last <= s.InForce.Number)
+}
+
 // notifyHolders brings the newest standing to all that hold a lease.
 func (v *voter) notifyHolders() {
-	s := &v.state.Rules.Standing
+	current := holdsOf(&v.state.Rules.Standing)
 	for _, h := range slices.SortedFunc(maps.Keys(v.leases), compareHolders) {
-		if l := v.leases[h]; l.until >= v.c.now && l.holds != holdsOf(s) {
-			v.c.send(h.name, &Message{Kind: Tell, From: v.c.set.Name, To: h.name, Standing: s.Share()})
+		l := v.leases[h]
+		if l.until < v.c.now || l.holds == current {
+			continue
+		}
+		if m := (&Message{Kind: Tell, From: v.c.set.Name, To: h.name}); v.bring(m, l, l.holds) {
+			v.c.send(h.name, m)
 		}
 	}
 }
--- a/internal/cluster/accord/log.go
+++ b/internal/cluster/accord/log.go
@@ -87,6 +87,7 @@
 	if state.Rules == nil {
 		return errors.New("accord: a snapshot with no rules")
 	}
+	state.Rules.Compact()
 	if err := state.Rules.Sound(); err != nil {
 		return fmt.Errorf("accord: a snapshot: %w", err)
 	}
--- a/internal/cluster/accord/types.go
+++ b/internal/cluster/accord/types.go
@@ -90,6 +90,10 @@
 	NoPrepared   bool // a change is in force at once
 	NoWait       bool // a new leader does not wait for the leases of the one before
 	NoConfirm    bool // leases are granted without hearing from a majority
+	NoDigest     bool // what a proxy has is not compared with what is vouched for, but by its number
+
+	// NoDeltas: whole standings alone are sent and taken, as by programs from before there were differences.
+	NoDeltas bool
 }
 
 // form is that of documents which this program understands.
@@ -161,6 +165,13 @@
 	Boot     uint64          `cbor:"15,keyasint,omitempty"` // of who asks
 	Reign    uint64          `cbor:"16,keyasint,omitempty"` // of a Hello: that of the sender's log
 	Form     uint8           `cbor:"17,keyasint,omitempty"` // of a Renew or Hello: which form of documents the sender understands; 0 stands for 1
+
+	// Delta stands in a Grant or Tell in place of Standing, for those who have said that they understand it.
+	Delta  *rules.Delta `cbor:"18,keyasint,omitempty"`
+	Deltas bool         `cbor:"19,keyasint,omitempty"` // of a Renew or Have: the sender understands differences and digests
+	Whole  bool         `cbor:"20,keyasint,omitempty"` // of a Renew: the sender has found that it has something else than others, and needs the whole
+	// Digest is of a Renew that of what the sender has, and of a Grant that of what is vouched for; 0 for none.
+	Digest rules.Digest `cbor:"21,keyasint,omitempty"`
 }
 
 // mostHops bounds how often a message is passed on.
@@ -184,8 +195,14 @@
 			return fmt.Errorf("accord: %w", err)
 		}
 	}
+	if m.Delta != nil {
+		if err := m.Delta.Sound(); err != nil {
+			return fmt.Errorf("accord: %w", err)
+		}
+	}
 	switch {
-	case m.Kind == Propose && m.Change == nil, m.Kind == Result && m.Answer == nil, m.Kind == Tell && m.Standing == nil, m.Kind == Raft && len(m.Raft) == 0:
+	case m.Kind == Propose && m.Change == nil, m.Kind == Result && m.Answer == nil, m.Kind == Tell && m.Standing == nil && m.Delta == nil,
+		m.Kind == Raft && len(m.Raft) == 0:
 		return fmt.Errorf("accord: a message of kind %d with nothing in it", m.Kind)
 	}
 	if m.Change != nil {
@@ -216,6 +233,9 @@
 	if err := reading.Unmarshal(b, m); err != nil {
 		return nil, fmt.Errorf("accord: %w", err)
 	}
+	if m.Standing != nil {
+		m.Standing.Compact()
+	}
 	return m, m.Sound()
 }
 
--- a/internal/cluster/accord/voter.go
+++ b/internal/cluster/accord/voter.go
@@ -64,6 +64,8 @@
 	round          uint64
 	proposers      map[string]*Message // who proposed, by the change's id
 	sentSnapshots  []uint64            // the logs that one was sent to since the last heartbeat
+	worked         *differences        // for the newest standing; nil for not yet
+	slowest        *lease              // of a holder that kept all versions from being in force when last looked; nil for none
 	lastEnforce    time.Duration       // when an entry that enforces was last written
 }
 
@@ -152,7 +154,7 @@
 	switch m.Kind {
 	case Have:
 		if l := v.leases[holder{m.From, m.Boot}]; l != nil {
-			l.holds = m.Holds
+			l.holds, l.deltas = m.Holds, m.Deltas && !v.c.set.NoDeltas
 			v.enforce()
 		}
 	case Renew:
@@ -214,7 +216,7 @@
 // startOver begins the log anew, as one that has lost its folder does.
 func (v *voter) startOver() {
 	v.c.host.Told(Forgetful, Note{})
-	v.leads, v.leases = false, nil
+	v.leads, v.leases, v.worked, v.slowest = false, nil, nil, nil
 	if err := v.begin(); err != nil {
 		v.halt(err)
 	}
--- a/internal/cluster/rules/rules.go
+++ b/internal/cluster/rules/rules.go
@@ -20,19 +20,27 @@
 // Bounds of what is agreed. What is over them is not proposed.
 const (
 	MostBans    = 1000
-	MostClasses = 64
-	MostMembers = 1000
+	MostClasses = 512  // with Form 2
+	MostMembers = 4096 // with Form 2; as many as a view of the fleet keeps in mind by default
 	MostDropped = 1000 // servers that lists may leave out
 	MostID      = 256  // bytes of a backend's id, a class's or a member's name
 	MostWhy     = 200  // bytes of a reason
-	// MostDocument is the bytes of texts in a document, so that a standing and a history fit a message.
-	MostDocument = 96 << 10
+	// MostDocument is the bytes of texts in a document, with Form 2: a standing of 17 of those and a history fit a message of 4 MiB,
+	// and 4,096 numbers for names of 24 bytes fit a document.
+	MostDocument = 160 << 10
 	MostPending  = 16      // changes on their way at one time
 	mostHistory  = 64      // versions that can be gone back to
 	mostKept     = 1 << 20 // bytes of texts in those
 	mostAnswers  = 256     // proposals whose answers are remembered
 )
 
+// The bounds of documents of Form 1.
+const (
+	form1Classes  = 64
+	form1Members  = 1000
+	form1Document = 96 << 10
+)
+
 // Ban takes a backend out at every proxy.
 type Ban struct {
 	Who string `cbor:"1,keyasint" json:"who"`
@@ -149,36 +157,71 @@
 	if a == b {
 		return a
 	}
-	m := &Document{Bans: maps.Clone(a.Bans)}
-	for id, ban := range b.Bans {
-		if m.Bans == nil {
-			m.Bans = map[string]Ban{}
+	m := &Document{Bans: meetBans(a.Bans, b.Bans), Dropped: meetDropped(a.Dropped, b.Dropped)}
+	m.Classes, m.Numbers = meetClasses(a.Classes, b.Classes), meetNumbers(a.Numbers, b.Numbers)
+	if q := min(a.Share(), b.Share()); q < 1 {
+		m.Quota = q
+	}
+	return m
+}
+
+// meetBans is the union of two maps; one of them itself where it holds the other.
+func meetBans(a, b map[string]Ban) map[string]Ban {
+	if len(a) < len(b) {
+		a, b = b, a
+	}
+	met, copied := a, false
+	for id, ban := range b {
+		if _, known := met[id]; known {
+			continue
 		}
-		if _, known := m.Bans[id]; !known {
-			m.Bans[id] = ban
+		if !copied {
+			met, copied = maps.Clone(met), true
 		}
+		met[id] = ban
 	}
-	m.Classes = maps.Clone(a.Classes)
-	for name, c := range b.Classes {
-		if m.Classes == nil {
-			m.Classes = map[string]Class{}
-		}
-		o := m.Classes[name]
-		m.Classes[name] = Class{NoRepeat: c.NoRepeat || o.NoRepeat, Closed: c.Closed || o.Closed}
+	return met
+}
+
+// meetClasses forbids for each class what either forbids.
+func meetClasses(a, b map[string]Class) map[string]Class {
+	if maps.Equal(a, b) {
+		return a
 	}
-	if q := min(a.Share(), b.Share()); q < 1 {
-		m.Quota = q
+	met := maps.Clone(a)
+	if met == nil {
+		met = map[string]Class{}
+	}
+	for name, c := range b {
+		o := met[name]
+		met[name] = Class{NoRepeat: c.NoRepeat || o.NoRepeat, Closed: c.Closed || o.Closed}
 	}
-	m.Dropped = slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(a.Dropped), b.Dropped...))))
-	for name, n := range a.Numbers {
-		if other, known := b.Numbers[name]; known && other == n {
-			if m.Numbers == nil {
-				m.Numbers = map[string]int{}
+	return met
+}
+
+// meetNumbers are those on which both agree; one of the maps itself where it holds no others.
+func meetNumbers(a, b map[string]int) map[string]int {
+	if sameMap(a, b) || maps.Equal(a, b) {
+		return a
+	}
+	var met map[string]int
+	for name, n := range a {
+		if other, known := b[name]; known && other == n {
+			if met == nil {
+				met = make(map[string]int, len(a))
 			}
-			m.Numbers[name] = n
+			met[name] = n
 		}
 	}
-	return m
+	return met
+}
+
+// meetDropped is the union of two ordered lists.
+func meetDropped(a, b []string) []string {
+	if slices.Equal(a, b) {
+		return a
+	}
+	return slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(a), b...))))
 }
 
 // Unknowing is what a proxy acts on of which nobody vouches that it knows the latest: what it knows, and no repeat, since any
--- a/internal/cluster/rules/state.go
+++ b/internal/cluster/rules/state.go
@@ -42,11 +42,30 @@
 }
 
 // Form is the form of documents that this version of the program understands. A proxy acts on no document of a later one: what it
-// does not understand forbids something. It grows with each kind of change, and with each part of a document.
-const Form = 1
+// does not understand forbids something. It grows with each kind of change, with each part of a document, and with each bound of
+// one, as a replica must not turn away what others take. Form 2 has greater bounds than Form 1.
+const Form = 2
 
-// Needs is the form that is needed to understand a change.
-func (c *Change) Needs() uint8 { return max(c.Form, 1) }
+// Needs is the form that is needed to understand a change: what its proposer says, or a later one for what goes beyond the bounds
+// of Form 1.
+func (c *Change) Needs() uint8 {
+	numbers, classes := len(c.Numbers), 0
+	if c.Settings != nil {
+		numbers, classes = max(numbers, len(c.Settings.Numbers)), len(c.Settings.Classes)
+	}
+	if numbers > form1Members || classes > form1Classes {
+		return max(c.Form, 2)
+	}
+	return max(c.Form, 1)
+}
+
+// mostDocument is the bytes of texts that a document may hold under a form.
+func mostDocument(form uint8) int {
+	if form < 2 {
+		return form1Document
+	}
+	return MostDocument
+}
 
 // Check says what is wrong with a change before it is proposed.
 func (c *Change) Check() error {
@@ -97,6 +116,8 @@
 	Number uint64   `cbor:"1,keyasint" json:"version"`
 	Doc    Document `cbor:"2,keyasint" json:"document"`
 	Change Change   `cbor:"3,keyasint" json:"change"`
+
+	digests partDigests // see computeDigests
 }
 
 // Standing is what a proxy has to act on: the version in force, and those on their way, each made on the one before.
@@ -112,11 +133,14 @@
 }
 
 // Last is the number of the newest version.
-func (s *Standing) Last() uint64 {
+func (s *Standing) Last() uint64 { return s.newest().Number }
+
+// newest is the newest version.
+func (s *Standing) newest() *Version {
 	if n := len(s.Pending); n > 0 {
-		return s.Pending[n-1].Number
+		return &s.Pending[n-1]
 	}
-	return s.InForce.Number
+	return &s.InForce
 }
 
 // NewerThan says whether a standing has more than another of the same log: a version more, or one more of them in force.
@@ -141,24 +165,52 @@
 
 // Sound says what is wrong with a standing that has come from outside.
 func (s *Standing) Sound() error {
+	if err := s.soundNumbers(); err != nil {
+		return err
+	}
+	if err := s.InForce.sound(&Version{}); err != nil {
+		return err
+	}
+	before := &s.InForce
+	for i := range s.Pending {
+		v := &s.Pending[i]
+		if err := v.sound(before); err != nil {
+			return err
+		}
+		before = v
+	}
+	return nil
+}
+
+// soundNumbers says what is wrong with the order of a standing's versions.
+func (s *Standing) soundNumbers() error {
 	if len(s.Pending) > MostPending {
 		return fmt.Errorf("standing: %d versions on their way; %d at most", len(s.Pending), MostPending)
 	}
 	before := s.InForce.Number
-	for _, v := range append([]Version{s.InForce}, s.Pending...) {
-		if v.Number < before || v.Number > before+1 {
-			return fmt.Errorf("standing: version %d after %d", v.Number, before)
-		}
-		before = v.Number
-		if len(v.Doc.Bans) > MostBans || len(v.Doc.Dropped) > MostDropped {
-			return fmt.Errorf("version %d: %d bans, %d dropped; %d and %d at most", v.Number, len(v.Doc.Bans), len(v.Doc.Dropped), MostBans, MostDropped)
-		}
-		if !slices.IsSorted(v.Doc.Dropped) {
-			return fmt.Errorf("version %d: dropped servers out of order", v.Number)
-		}
-		if err := v.Doc.Check(); err != nil {
-			return fmt.Errorf("version %d: %w", v.Number, err)
+	for i := range s.Pending {
+		if number := s.Pending[i].Number; number != before+1 {
+			return fmt.Errorf("standing: version %d after %d", number, before)
 		}
+		before++
+	}
+	return nil
+}
+
+// sound says what is wrong with a version. Numbers that it shares with another one, which is sound, are not looked at again.
+func (v *Version) sound(other *Version) error {
+	if len(v.Doc.Bans) > MostBans || len(v.Doc.Dropped) > MostDropped {
+		return fmt.Errorf("version %d: %d bans, %d dropped; %d and %d at most", v.Number, len(v.Doc.Bans), len(v.Doc.Dropped), MostBans, MostDropped)
+	}
+	if !slices.IsSorted(v.Doc.Dropped) {
+		return fmt.Errorf("version %d: dropped servers out of order", v.Number)
+	}
+	settings := v.Doc.Settings
+	if sameMap(settings.Numbers, other.Doc.Numbers) {
+		settings.Numbers = nil
+	}
+	if err := settings.Check(); err != nil {
+		return fmt.Errorf("version %d: %w", v.Number, err)
 	}
 	return nil
 }
@@ -181,6 +233,7 @@
 // NewState is a fleet's before anything was agreed: version 1 forbids nothing.
 func NewState() *State {
 	first := Version{Number: 1}
+	first.computeDigests(nil)
 	return &State{Standing: Standing{InForce: first}, History: []Version{first}}
 }
 
@@ -205,6 +258,7 @@
 	} else {
 		v := Version{Number: s.Last() + 1, Doc: *doc, Change: *c}
 		v.Change.Settings, v.Change.Numbers, v.Change.Servers = nil, nil, nil // they are the document's
+		v.computeDigests(s.newest())
 		s.Pending = append(s.Pending[:len(s.Pending):len(s.Pending)], v)
 		a.Version = v.Number
 		s.Form = max(s.Form, c.Form)
@@ -223,13 +277,14 @@
 	if len(s.Pending) >= MostPending {
 		return nil, fmt.Errorf("%d changes are on their way; wait for them", len(s.Pending))
 	}
+	if c.Needs() > max(c.Form, 1) {
+		// An older replica turns it away for its bounds, and all must come to the same.
+		return nil, fmt.Errorf("the change needs form %d of documents, and says that %d is enough", c.Needs(), max(c.Form, 1))
+	}
 	if c.On != 0 && c.On != s.Last() {
 		return nil, fmt.Errorf("made for version %d, and the newest is %d; look at it and propose again", c.On, s.Last())
 	}
-	was := s.InForce.Doc
-	if n := len(s.Pending); n > 0 {
-		was = s.Pending[n-1].Doc
-	}
+	was := s.newest().Doc
 	doc := was
 	_, out := was.Bans[c.Server]
 	switch c.Kind {
@@ -271,8 +326,8 @@
 		}
 		doc = old.Doc
 	}
-	if n := doc.size(); n > MostDocument {
-		return nil, fmt.Errorf("%d bytes of bans and settings; %d at most: lift bans that are over, or give shorter reasons", n, MostDocument)
+	if n, most := doc.size(), mostDocument(max(s.Form, c.Form)); n > most {
+		return nil, fmt.Errorf("%d bytes of bans and settings; %d at most: lift bans that are over, or give shorter reasons", n, most)
 	}
 	return &doc, nil
 }
