accord/model: differences, older programs and corrupted disks are played

Of three stories one has corrupted disks, one those and an older program beside voters, one older programs among voters. Numbers for all members are among the changes. The checker tells standings apart by their content and not by their numbers alone, which is stricter.

--- a/internal/cluster/accord/model/model.go
+++ b/internal/cluster/accord/model/model.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -30,6 +31,9 @@
 	Drift float64
 	// Crash is how likely a process dies at a write of its disk, before or after the write holds.
 	Crash float64
+	// Corrupt is how likely a process that starts finds another document on its disk under the number that it had, unless it is of
+	// the programs that know of no digests.
+	Corrupt float64
 }
 
 // Figures are what a play has come to.
@@ -48,6 +52,10 @@
 	Reads, Stale int
 	// Leaderless are the times for which no living keeper led, once one had.
 	Leaderless []time.Duration
+	// Deltas and Wholes are the standings that were sent, as differences and whole.
+	Deltas, Wholes int
+	// Corrupted are the disks that held another document, Mismatches how often a process found that it had another one.
+	Corrupted, Mismatches int
 	// Wrong is what must not be.
 	Wrong []string
 }
@@ -74,6 +82,12 @@
 	wake        time.Duration
 	breach      map[string]time.Duration // since when it acts against what others hold
 	standing    rules.Standing
+	digest      rules.Digest // of the standing
+}
+
+// knows notes what a process acts on.
+func (p *process) knows(s *rules.Standing) {
+	p.standing, p.digest = *s, s.Digest()
 }
 
 type kind uint8
@@ -109,7 +123,9 @@
 	queue   schedule.Queue[event]
 	network *faults.Network
 	dice    *rand.Rand
-	layers  map[int]*faults.Layer
+	// numbers and disks draw from dice of their own, so that the faults of a story are the same with and without them.
+	numbers, disks *rand.Rand
+	layers         map[int]*faults.Layer
 	// leaderless is since when nobody leads; 0 while one does.
 	leaderless time.Duration
 	everLed    bool
@@ -133,7 +149,8 @@
 		return nil, err
 	}
 	f := &Fleet{
-		config: c, network: faults.NewNetwork(c.Story.Seed), dice: rand.New(rand.NewPCG(c.Story.Seed, 31)), layers: map[int]*faults.Layer{},
+		config: c, network: faults.NewNetwork(c.Story.Seed), dice: rand.New(rand.NewPCG(c.Story.Seed, 31)),
+		numbers: rand.New(rand.NewPCG(c.Story.Seed, 32)), disks: rand.New(rand.NewPCG(c.Story.Seed, 33)), layers: map[int]*faults.Layer{},
 		byName: map[string]*process{}, proposed: map[string]time.Duration{}, known: map[uint64]string{}, servers: 20,
 	}
 	for i, name := range c.Story.Names() {
@@ -166,10 +183,6 @@
 func (f *Fleet) start(p *process) {
 	p.starts++
 	p.up, p.paused, p.crash, p.boot, p.inbox, p.wake = true, false, false, f.dice.Uint64(), nil, -1
-	p.standing = rules.Standing{}
-	if p.disk.Acts != nil {
-		p.standing = *p.disk.Acts // which it acts on, and has no cause to store again
-	}
 	s := accord.Settings{Name: p.name, Boot: p.boot, Times: accord.DefaultTimes()}
 	for i := range f.config.Story.Keepers {
 		s.Keepers = append(s.Keepers, f.procs[i].name)
@@ -177,6 +190,13 @@
 	if f.config.Set != nil {
 		f.config.Set(&s)
 	}
+	f.corrupt(p, &s)
+	p.knows(&rules.Standing{})
+	if p.disk.Acts != nil {
+		stored := p.disk.Acts.Share() // which it acts on, and has no cause to store again
+		stored.Compact()
+		p.knows(stored)
+	}
 	core, err := accord.New(f.local(p), s, f.dice.Uint64(), p.disk, host{f, p})
 	if err != nil {
 		f.wrong("%s does not start: %v", p.name, err)
@@ -192,6 +212,46 @@
 	f.after(p)
 }
 
+// corrupt may have a process find another document on its disk than it has stored.
+func (f *Fleet) corrupt(p *process, s *accord.Settings) {
+	if f.config.Corrupt == 0 || s.NoDeltas || p.disk.Acts == nil || f.disks.Float64() >= f.config.Corrupt {
+		return
+	}
+	acts := p.disk.Acts.Share()
+	versions := []*rules.Version{&acts.InForce}
+	for i := range acts.Pending {
+		versions = append(versions, &acts.Pending[i])
+	}
+	changed := false
+	for _, v := range versions {
+		other := rules.Version{Number: v.Number, Doc: v.Doc, Change: v.Change} // its digests are not remembered
+		if f.bend(&other.Doc) {
+			changed = true
+		}
+		*v = other
+	}
+	if changed {
+		f.Figures.Corrupted++
+		p.disk.Acts = acts
+	}
+}
+
+// bend makes another document, which allows what the first forbids, and says whether it has.
+func (f *Fleet) bend(doc *rules.Document) bool {
+	bans, names := slices.Sorted(maps.Keys(doc.Bans)), slices.Sorted(maps.Keys(doc.Numbers))
+	if len(bans) > 0 {
+		doc.Bans = maps.Clone(doc.Bans)
+		delete(doc.Bans, bans[f.disks.IntN(len(bans))])
+	}
+	if len(names) > 1 {
+		doc.Numbers = maps.Clone(doc.Numbers)
+		i := f.disks.IntN(len(names) - 1)
+		a, b := names[i], names[i+1]
+		doc.Numbers[a], doc.Numbers[b] = doc.Numbers[b], doc.Numbers[a]
+	}
+	return len(bans) > 0 || len(names) > 1
+}
+
 func (f *Fleet) stop(p *process) {
 	p.up, p.core, p.inbox, p.basis = false, nil, nil, nil
 	clear(p.breach)
@@ -233,6 +293,12 @@
 	}
 	f.Figures.Messages++
 	f.Figures.Bytes += int64(len(text))
+	switch {
+	case m.Delta != nil:
+		f.Figures.Deltas++
+	case m.Standing != nil:
+		f.Figures.Wholes++
+	}
 	// What is sent is read as it would be from the wire, so that nothing is shared.
 	read, err := accord.Decode(text)
 	if err != nil {
@@ -309,12 +375,15 @@
 	switch what {
 	case accord.Elected:
 		h.Figures.Leaders++
+	case accord.Differs:
+		h.Figures.Mismatches++
 	case accord.Learned:
 		r := h.p.core
 		if r == nil {
 			return // while it starts
 		}
-		h.p.standing = r.Report(0).Standing
+		standing := r.Report(0).Standing
+		h.p.knows(&standing)
 		for _, v := range append([]rules.Version{h.p.standing.InForce}, h.p.standing.Pending...) {
 			if v.Number > 1 {
 				h.number(v.Number, v.Change.ID)
@@ -390,7 +459,7 @@
 	}
 }
 
-// propose has a change proposed at some member: a ban or its lifting, mostly.
+// propose has a change proposed at some member: a ban or its lifting, mostly; now and then numbers for all members.
 func (f *Fleet) propose() {
 	if f.now > time.Duration(f.config.Story.Length) {
 		return
@@ -406,6 +475,11 @@
 	switch d := f.dice.IntN(10); {
 	case d == 0:
 		c.Kind, c.Settings = rules.Configure, &rules.Settings{Quota: 0.5 + f.dice.Float64()/2, Classes: map[string]rules.Class{"hold": {NoRepeat: f.dice.IntN(2) == 0}}}
+	case d == 2:
+		c.Kind, c.Numbers = rules.Number, map[string]int{}
+		for i, n := range f.numbers.Perm(len(f.procs)) {
+			c.Numbers[f.procs[i].name] = n
+		}
 	case d == 1 && p.standing.InForce.Number > 1:
 		c.Kind, c.To = rules.GoBack, p.standing.InForce.Number-1
 	case out:
@@ -455,10 +529,14 @@
 func (f *Fleet) look() {
 	f.led()
 	f.read()
-	forbidding := map[[2]uint64]*rules.Standing{}
+	type known struct {
+		inForce, last uint64
+		digest        rules.Digest
+	}
+	forbidding := map[known]*rules.Standing{}
 	for _, q := range f.procs {
 		if q.up && !q.paused && q.basis != nil && q.basis.Mode(f.local(q)) == accord.Leased {
-			forbidding[[2]uint64{q.standing.InForce.Number, q.standing.Last()}] = &q.standing
+			forbidding[known{q.standing.InForce.Number, q.standing.Last(), q.digest}] = &q.standing
 		}
 	}
 	for _, p := range f.procs {
@@ -466,7 +544,7 @@
 			continue
 		}
 		mode := p.basis.Mode(f.local(p))
-		if _, same := forbidding[[2]uint64{p.basis.Version, p.basis.Last}]; same && len(forbidding) == 1 {
+		if _, same := forbidding[known{p.basis.Version, p.basis.Last, p.digest}]; same && len(forbidding) == 1 {
 			clear(p.breach)
 			continue // what all hold cannot contradict itself
 		}
--- a/internal/cluster/accord/model/model_test.go
+++ b/internal/cluster/accord/model/model_test.go
@@ -51,15 +51,18 @@
 func TestDrawnStories(t *testing.T) {
 	var sum struct {
 		sync.Mutex
-		agreed, proposed, leaders, reads int
-		alone                            time.Duration
+		agreed, proposed, leaders, reads      int
+		deltas, wholes, corrupted, mismatches int
+		alone                                 time.Duration
 	}
 	t.Run("all", func(t *testing.T) {
 		for seed := range uint64(*stories) {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				keepers := 3 + 2*int(seed%2)
-				f := play(t, Config{Story: drawn(seed, 5+int(seed%4), keepers), Drift: 0.02, Crash: 0.001})
+				c := Config{Story: drawn(seed, 5+int(seed%4), keepers), Drift: 0.02, Crash: 0.001}
+				mix(&c, seed)
+				f := play(t, c)
 				g := &f.Figures
 				if g.Leased > 0 || len(g.Wrong) > 0 {
 					t.Errorf("contradictions for %v; %q", g.Leased, g.Wrong)
@@ -74,13 +77,40 @@
 				defer sum.Unlock()
 				sum.agreed, sum.proposed, sum.leaders, sum.alone = sum.agreed+g.Agreed, sum.proposed+g.Proposed, sum.leaders+g.Leaders, max(sum.alone, g.Alone)
 				sum.reads += g.Reads
+				sum.deltas, sum.wholes = sum.deltas+g.Deltas, sum.wholes+g.Wholes
+				sum.corrupted, sum.mismatches = sum.corrupted+g.Corrupted, sum.mismatches+g.Mismatches
 			})
 		}
 	})
 	t.Logf("%d of %d changes agreed, %d times a leader, %d reads; alone for %v at most", sum.agreed, sum.proposed, sum.leaders, sum.reads, sum.alone)
+	t.Logf("%d standings sent as differences and %d whole; %d disks held another document, %d found so", sum.deltas, sum.wholes, sum.corrupted, sum.mismatches)
 	if sum.agreed < sum.proposed/2 {
 		t.Errorf("%d of %d changes agreed", sum.agreed, sum.proposed)
 	}
+	if sum.deltas == 0 || sum.wholes == 0 || sum.corrupted == 0 || sum.mismatches == 0 {
+		t.Error("differences, whole standings and corrupted disks are not all played")
+	}
+}
+
+// mix makes some of a story's members programs from before there were differences: of three stories one has none of them and corrupted
+// disks, one has them beside voters that are none and corrupted disks, and one has them among voters too. Those know of no digests, so
+// that no disk is corrupted where one of them may lead.
+func mix(c *Config, seed uint64) {
+	keepers := c.Story.Keepers
+	names := c.Story.Names()
+	older := map[string]bool{}
+	switch seed % 3 {
+	case 0:
+		c.Corrupt = 0.5
+	case 1:
+		c.Corrupt = 0.5
+		older[names[keepers]] = true
+	case 2:
+		for i, name := range names {
+			older[name] = (seed/3+uint64(i))%2 == 0
+		}
+	}
+	c.Set = func(s *accord.Settings) { s.NoDeltas = older[s.Name] }
 }
 
 // linearizable says whether there is one order of all answered changes in which each is made between its asking and its telling, and
@@ -142,15 +172,19 @@
 
 // TestEachDefenceCounts: with each defence taken out the checker finds what it guards against.
 func TestEachDefenceCounts(t *testing.T) {
-	for name, set := range map[string]func(*accord.Settings){
-		"no lease check": func(s *accord.Settings) { s.NoLeaseCheck = true },
-		"no prepared":    func(s *accord.Settings) { s.NoPrepared = true },
-		"no wait":        func(s *accord.Settings) { s.NoWait = true },
-		"no confirm":     func(s *accord.Settings) { s.NoConfirm = true },
+	for name, defence := range map[string]struct {
+		set     func(*accord.Settings)
+		corrupt float64
+	}{
+		"no lease check": {set: func(s *accord.Settings) { s.NoLeaseCheck = true }},
+		"no prepared":    {set: func(s *accord.Settings) { s.NoPrepared = true }},
+		"no wait":        {set: func(s *accord.Settings) { s.NoWait = true }},
+		"no confirm":     {set: func(s *accord.Settings) { s.NoConfirm = true }},
+		"no digest":      {set: func(s *accord.Settings) { s.NoDigest = true }, corrupt: 0.5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(400) {
-				f := play(t, Config{Story: drawn(seed, 6, 3), Drift: 0.02, Set: set})
+				f := play(t, Config{Story: drawn(seed, 6, 3), Drift: 0.02, Set: defence.set, Corrupt: defence.corrupt})
 				if f.Figures.Leased > 0 {
 					t.Logf("found with seed %d, for %v", seed, f.Figures.Leased)
 					return
