link: what is too long for a datagram waits for one of 256 streams, in place of being dropped beyond 8

The line is bounded by 4,096 parcels and 64 MiB; a newer parcel of a topic takes the place of one that waits for the same address. agreement has grants and tells replaced so. More bounds for 1,400 members: 4,096 events before an owner (was 1,024), 32 streams answered at one time (was 8), a receive buffer of 4 MiB asked of the kernel, numbers for up to 4,096 proxies.

--- a/internal/cluster/agreement/node.go
+++ b/internal/cluster/agreement/node.go
@@ -34,8 +34,9 @@
 )
 
 const (
-	// mostWaiting events stand before the owner; messages beyond are dropped, as the network would.
-	mostWaiting = 1024
+	// mostWaiting events stand before the owner; messages beyond are dropped, as the network would. After a change each of 1,400
+	// holders of leases acknowledges within milliseconds, and a second step follows at once; renewals come beside both.
+	mostWaiting = 4096
 	// openEvery is between tries for a file that the process before this one still holds.
 	openEvery = 100 * time.Millisecond
 	// lookEvery is between two looks at on what this proxy acts, beside those after each event.
@@ -302,12 +303,29 @@
 // host is the core's side of a node; its methods run on the owner.
 type host struct{ *Node }
 
+// latestCarrier is a carrier that can leave out what a newer parcel of the same topic makes useless.
+type latestCarrier interface {
+	CarryLatest(to, topic string, body []byte)
+}
+
+var _ latestCarrier = cluster.Part{}
+
 func (h host) Send(to string, m *accord.Message) {
 	address := (*h.addresses.Load())[to]
 	if address == "" {
 		return
 	}
-	if body, err := m.Encode(); err == nil {
+	body, err := m.Encode()
+	if err != nil {
+		return
+	}
+	latest, able := h.carrier.(latestCarrier)
+	switch {
+	case able && m.Kind == accord.Grant: // each brings all that its receiver lacks
+		latest.CarryLatest(address, "grant "+m.To, body)
+	case able && m.Kind == accord.Tell:
+		latest.CarryLatest(address, "tell "+m.To, body)
+	default:
 		h.carrier.Carry(address, body)
 	}
 }
--- a/internal/cluster/link/link.go
+++ b/internal/cluster/link/link.go
@@ -28,14 +28,16 @@
 	perSource, burstPerSource = 1000, 2000
 	// mostSources are told apart; with more, the ones longest unheard begin anew.
 	mostSources = 4096
-	// mostStreams full exchanges are answered at one time; others are closed at once and come again.
-	mostStreams = 8
-	// mostParcels too long for a datagram are on their way at one time; others are dropped, as the network would.
-	mostParcels = 8
+	// mostStreams full exchanges and parcels are answered at one time; others are closed at once and come again. With a round trip of
+	// 150 ms one holds its place for more than 300 ms, and many members that start together ask the few that they know.
+	mostStreams = 32
 	// streamTime bounds a full exchange.
 	streamTime = 2 * time.Second
 	// portTries is how often another free port is tried where port 0 is asked for and one of the two kinds has it taken.
 	portTries = 20
+	// receiveBuffer is asked of the kernel for datagrams that wait to be read: after a change all of 1,400 members acknowledge within
+	// milliseconds. The kernel may give less (net.core.rmem_max).
+	receiveBuffer = 4 << 20
 )
 
 // Handler takes in what comes. Its methods are called from several goroutines and must not block for long.
@@ -82,7 +84,7 @@
 	tcp     *net.TCPListener
 	counts  counters
 	streams chan struct{}
-	parcels chan struct{}
+	parcels parcelQueue
 	sources sources
 	delayed delayed
 	ctx     context.Context
@@ -92,7 +94,7 @@
 
 // Listen opens both sockets and begins to hand on what comes.
 func Listen(c Config, h Handler) (*Link, error) {
-	l := &Link{config: c, codec: codec.New(c.Fleet), handler: h, streams: make(chan struct{}, mostStreams), parcels: make(chan struct{}, mostParcels)}
+	l := &Link{config: c, codec: codec.New(c.Fleet), handler: h, streams: make(chan struct{}, mostStreams)}
 	if err := l.open(); err != nil {
 		return nil, fmt.Errorf("fleet: listen: %w", err)
 	}
@@ -113,6 +115,7 @@
 		}
 		port := l.udp.LocalAddr().(*net.UDPAddr).Port
 		if l.tcp, err = net.ListenTCP("tcp4", &net.TCPAddr{IP: at.IP, Port: port}); err == nil {
+			l.udp.SetReadBuffer(receiveBuffer) // with a shorter one more is lost, and sent anew
 			return nil
 		}
 		l.udp.Close()
@@ -201,47 +204,6 @@
 	l.emit(at, text)
 }
 
-// Carry sends a parcel to an address: as a datagram if it fits one, by a stream of its own otherwise. It does not block, and the
-// parcel may be lost.
-func (l *Link) Carry(to string, body []byte) {
-	at, err := netip.ParseAddrPort(to)
-	if err != nil || !l.listed(at.Addr()) {
-		l.counts.unsent.Add(1)
-		return
-	}
-	text, err := l.codec.Parcel(body)
-	if err != nil {
-		l.counts.unsent.Add(1)
-		return
-	}
-	if len(text) <= codec.MostDatagram {
-		l.emit(at, text)
-		return
-	}
-	select {
-	case l.parcels <- struct{}{}:
-	default:
-		l.counts.unsent.Add(1)
-		return
-	}
-	l.running.Go(func() {
-		defer func() { <-l.parcels }()
-		ctx, cancel := context.WithTimeout(l.ctx, streamTime)
-		defer cancel()
-		conn, err := l.dial(ctx, at)
-		if err == nil {
-			defer conn.Close()
-			defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })()
-			err = l.writeStream(ctx, conn, at, text)
-		}
-		if err != nil {
-			l.counts.unsent.Add(1)
-			return
-		}
-		l.countSent(len(text))
-	})
-}
-
 // dial connects from the address that others know us by.
 func (l *Link) dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	for range 2 { // there and back
@@ -369,6 +331,7 @@
 // Close ends both sockets and every stream, and returns once nothing of it runs.
 func (l *Link) Close() {
 	l.cancel()
+	l.counts.unsent.Add(int64(l.parcels.close()))
 	l.udp.Close()
 	l.tcp.Close()
 	l.running.Wait()
--- /dev/null
+++ b/internal/cluster/link/parcels_test.go
@@ -0,0 +1,200 @@
+package link
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestManyParcelsAtOnce: each of many receivers, more than there are streams at one time, gets its own over a slow network.
+func TestManyParcelsAtOnce(t *testing.T) {
+	const (
+		receivers = maxParcelStreams + 64
+		oneWay    = 20 * time.Millisecond
+		size      = 40_000
+	)
+	from, _ := listenOn(t, "127.0.0.0/8", &fixedPath{after: oneWay})
+	e := &ear{parcels: make(chan []byte, receivers)}
+	var to []string
+	for range receivers {
+		l, err := Listen(Config{Fleet: "shelf", Listen: "127.0.0.1:0", Networks: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}}, e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.Close)
+		to = append(to, l.Addr())
+	}
+	for i, address := range to {
+		from.CarryLatest(address, "standing", bytes.Repeat([]byte{byte(i)}, size))
+	}
+	seen := map[byte]int{}
+	for range receivers {
+		select {
+		case body := <-e.parcels:
+			if len(body) != size {
+				t.Errorf("%d bytes of %d", len(body), size)
+			}
+			seen[body[0]]++
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%d kinds of parcels came", len(seen))
+		}
+	}
+	until(t, "all are counted", func() bool { return from.Counts().Sent == receivers })
+	if n := from.Counts().Unsent; n != 0 || len(seen) != 256 {
+		t.Errorf("%d unsent, %d kinds", n, len(seen))
+	}
+}
+
+// silentServer takes connections and never reads from them.
+func silentServer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var conns []net.Conn
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, conn)
+			mu.Unlock()
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-done
+		for _, conn := range conns {
+			conn.Close()
+		}
+	})
+	return l.Addr().String()
+}
+
+// TestAReceiverThatDoesNotRead holds a place for a bounded time and keeps nobody else's parcel.
+func TestAReceiverThatDoesNotRead(t *testing.T) {
+	silent := silentServer(t)
+	from, _ := listen(t, "127.0.0.0/8")
+	to, ear := listen(t, "127.0.0.0/8")
+	const stuck = 4
+	long := make([]byte, 4<<20) // more than the sockets' buffers hold
+	for range stuck {
+		from.Carry(silent, long[:len(long)-1])
+	}
+	began := time.Now()
+	from.Carry(to.Addr(), long[:40_000])
+	if body := <-ear.parcels; len(body) != 40_000 || time.Since(began) > streamTime {
+		t.Errorf("%d bytes after %v", len(body), time.Since(began))
+	}
+	until(t, "given up", func() bool { return from.Counts().Unsent == stuck })
+	if took := time.Since(began); took < streamTime/2 || took > 5*streamTime {
+		t.Errorf("given up after %v", took)
+	}
+}
+
+// TestCloseWhileParcelsWait: Close ends the streams at once, what waits is counted as unsent, and nothing is taken in after it.
+func TestCloseWhileParcelsWait(t *testing.T) {
+	silent := silentServer(t)
+	from, _ := listen(t, "127.0.0.0/8")
+	const parcels = maxParcelStreams + 44
+	body := make([]byte, 190_000)
+	for range parcels {
+		from.Carry(silent, body)
+	}
+	var senders sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 4 {
+		senders.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					from.CarryLatest(silent, fmt.Sprint(i), body)
+				}
+			}
+		})
+	}
+	began := time.Now()
+	from.Close()
+	if took := time.Since(began); took > streamTime/2 {
+		t.Errorf("Close took %v", took)
+	}
+	close(stop)
+	senders.Wait()
+	before := from.Counts().Unsent
+	from.Carry(silent, body)
+	if after := from.Counts().Unsent; after != before+1 {
+		t.Errorf("%d unsent, and %d after one more", before, after)
+	}
+}
+
+// TestTheLatestOfATopic takes the place of one that waits, and of no other.
+func TestTheLatestOfATopic(t *testing.T) {
+	q := &parcelQueue{streams: maxParcelStreams}
+	never := func() { t.Error("one more stream than there may be") }
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port) }
+	for i, key := range []parcelKey{{at(1), "a"}, {at(1), ""}, {at(2), "a"}, {at(1), "b"}, {at(1), "a"}, {at(1), ""}, {at(1), "a"}} {
+		if !q.push(&parcel{key, bytes.Repeat([]byte{byte(i)}, i+1)}, never) {
+			t.Errorf("%d is not taken in", i)
+		}
+	}
+	want := []byte{6, 1, 2, 3, 5}
+	if q.bytes != 7+2+3+4+6 || len(q.waiting) != len(want) {
+		t.Errorf("%d wait with %d bytes", len(q.waiting), q.bytes)
+	}
+	for _, n := range want {
+		if p := q.pop(); p == nil || p.text[0] != n {
+			t.Errorf("%+v; wanted %d", p, n)
+		}
+	}
+	if q.pop() != nil || q.bytes != 0 || len(q.byTopic) != 0 || q.streams != maxParcelStreams-1 {
+		t.Errorf("at the end: %d bytes, %d topics, %d streams", q.bytes, len(q.byTopic), q.streams)
+	}
+	// What is being sent is no longer replaced.
+	key := parcelKey{at(1), "a"}
+	q.push(&parcel{key, []byte{1}}, func() {})
+	first := q.pop()
+	q.push(&parcel{key, []byte{2}}, func() {})
+	if second := q.pop(); first.text[0] != 1 || second == nil || second.text[0] != 2 {
+		t.Errorf("%+v, %+v", first, second)
+	}
+}
+
+// TestBoundsOfWhatWaits by count and by bytes.
+func TestBoundsOfWhatWaits(t *testing.T) {
+	key := func(i int) parcelKey {
+		return parcelKey{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 1), "a"}
+	}
+	q, started := &parcelQueue{}, 0
+	for i := range maxQueuedParcels + 10 {
+		if taken := q.push(&parcel{key(i), []byte{1}}, func() { started++ }); taken != (i < maxQueuedParcels) {
+			t.Fatalf("%d: %v", i, taken)
+		}
+	}
+	if started != maxParcelStreams {
+		t.Errorf("%d streams", started)
+	}
+	if lost := q.close(); lost != maxQueuedParcels || q.push(&parcel{key(0), []byte{1}}, func() { t.Error("a stream after close") }) {
+		t.Errorf("%d lost at close", lost)
+	}
+	q = &parcelQueue{}
+	half := make([]byte, maxQueuedParcelBytes/2)
+	start := func() {}
+	if !q.push(&parcel{key(0), half}, start) || !q.push(&parcel{key(1), half}, start) || q.push(&parcel{key(2), []byte{1}}, start) {
+		t.Error("the bytes that wait are bounded otherwise")
+	}
+	if !q.push(&parcel{key(1), half[1:]}, start) || !q.push(&parcel{key(2), []byte{1}}, start) || q.push(&parcel{key(1), half}, start) {
+		t.Error("what is replaced is counted otherwise")
+	}
+}
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -32,8 +32,9 @@
 )
 
 const (
-	// mostWaiting events stand before the owner; datagrams beyond are dropped, as the network would.
-	mostWaiting = 1024
+	// mostWaiting events stand before the owner; datagrams beyond are dropped, as the network would. In a fleet of 1,400 as many
+	// may ask or answer within milliseconds.
+	mostWaiting = 4096
 	// mostExchanges full exchanges are begun at one time.
 	mostExchanges = 2
 	// bindEvery is between tries for an address that the process before this one still holds.
@@ -311,6 +312,14 @@
 	}
 }
 
+// CarryLatest does the same for a parcel of which only the newest of its topic counts: one that still waits to be sent to that address
+// is not.
+func (p Part) CarryLatest(to, topic string, body []byte) {
+	if l := p.link.Load(); l != nil {
+		l.CarryLatest(to, string([]byte{p.kind})+topic, append([]byte{p.kind}, body...))
+	}
+}
+
 // OnParcel has take called with each parcel of this kind that comes, from several goroutines; it must not block for long.
 func (p Part) OnParcel(take func(body []byte)) { p.parcels[p.kind].Store(&take) }
 
--- a/internal/cluster/numbering/numbering.go
+++ b/internal/cluster/numbering/numbering.go
@@ -12,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"brasswell/internal/cluster/rules"
 )
 
 // Settings are what a planner is told.
@@ -27,7 +29,7 @@
 
 // DefaultSettings fit restarts of some seconds.
 func DefaultSettings() Settings {
-	return Settings{Settle: 10 * time.Second, Again: 10 * time.Second, Most: 1000}
+	return Settings{Settle: 10 * time.Second, Again: 10 * time.Second, Most: rules.MostMembers}
 }
 
 // Planner plans numbers at one proxy, the leader. It is not safe for concurrent use.
