--- a/internal/cluster/accord/differences.go
+++ b/internal/cluster/accord/differences.go
@@ -31,7 +31,10 @@
 	work := v.differences()
 	d, known := work.byBase[has]
 	if !known {
-		d, _ = rules.Between(v.state.Rules, rules.Position(has))
+		var ok bool
+		if d, ok = rules.Between(v.state.Rules, rules.Position(has)); !ok || d.Freeze() != nil {
+			d = nil // which cannot be written goes out as a whole
+		}
 		work.byBase[has] = d
 	}
 	return d
--- a/internal/cluster/rules/delta.go
+++ b/internal/cluster/rules/delta.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Position is what somebody has, by number: a log, the version in force in it and the newest one.
@@ -43,6 +45,26 @@
 	Differences []Difference `cbor:"6,keyasint,omitempty"`
 	// Digest is that of the standing that is to result.
 	Digest Digest `cbor:"7,keyasint"`
+
+	encoded []byte // as it is written, where that is known: many receivers lack the same
+}
+
+// plainDelta is written field by field.
+type plainDelta Delta
+
+// MarshalCBOR writes a delta.
+func (d *Delta) MarshalCBOR() ([]byte, error) {
+	if d.encoded != nil {
+		return d.encoded, nil
+	}
+	return cbor.Marshal((*plainDelta)(d))
+}
+
+// Freeze has a delta written once for all that it goes to. It must not change after that.
+func (d *Delta) Freeze() error {
+	text, err := cbor.Marshal((*plainDelta)(d))
+	d.encoded = text
+	return err
 }
 
 // What can be wrong with a delta and what it is applied to. Who meets one of them asks for the whole standing.
--- a/internal/cluster/rules/rules.go
+++ b/internal/cluster/rules/rules.go
@@ -158,11 +158,16 @@
 		return a
 	}
 	m := &Document{Bans: meetBans(a.Bans, b.Bans), Dropped: meetDropped(a.Dropped, b.Dropped)}
-	m.Classes, m.Numbers = meetClasses(a.Classes, b.Classes), meetNumbers(a.Numbers, b.Numbers)
+	m.Classes, m.Numbers, m.Quota = meetClasses(a.Classes, b.Classes), meetNumbers(a.Numbers, b.Numbers), meetQuota(a, b)
+	return m
+}
+
+// meetQuota is the smaller share, with 0 for 1.
+func meetQuota(a, b *Document) float64 {
 	if q := min(a.Share(), b.Share()); q < 1 {
-		m.Quota = q
+		return q
 	}
-	return m
+	return 0
 }
 
 // meetBans is the union of two maps; one of them itself where it holds the other.
--- a/internal/cluster/rules/rules_test.go
+++ b/internal/cluster/rules/rules_test.go
@@ -52,6 +52,27 @@
 	})
 }
 
+// TestMeetOfAStanding: it is the meet of each document in it, one after another.
+func TestMeetOfAStanding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := drawHistory(t)
+		one := s.InForce.Doc
+		want := &one
+		for i := range s.Pending {
+			want = Meet(want, &s.Pending[i].Doc)
+		}
+		got := s.Meet()
+		if d := Diff(want, got); len(d) > 0 || got.Share() != want.Share() {
+			t.Fatalf("%q", d)
+		}
+		for _, v := range s.versions() {
+			if found := Breaches(got, &v.Doc); len(found) > 0 {
+				t.Fatalf("against version %d: %q", v.Number, found)
+			}
+		}
+	})
+}
+
 // TestDocumentsSurviveTheWire: what is written is read back as it was; two parts with one key would not be.
 func TestDocumentsSurviveTheWire(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/cluster/rules/state.go
+++ b/internal/cluster/rules/state.go
@@ -155,12 +155,32 @@
 
 // Meet is what is right under the version in force and all that are on their way.
 func (s *Standing) Meet() *Document {
-	doc := s.InForce.Doc // the standing itself may change
-	m := &doc
+	met := s.InForce.Doc // the standing itself may change
+	before := &s.InForce.Doc
 	for i := range s.Pending {
-		m = Meet(m, &s.Pending[i].Doc)
+		doc := &s.Pending[i].Doc
+		met.meet(doc, before)
+		before = doc
 	}
-	return m
+	return &met
+}
+
+// meet makes a document that of what is right under it and another one, of which the parts that it shares with the one before it are
+// in there already.
+func (d *Document) meet(other, before *Document) {
+	if !sameMap(other.Bans, before.Bans) {
+		d.Bans = meetBans(d.Bans, other.Bans)
+	}
+	if !sameMap(other.Classes, before.Classes) {
+		d.Classes = meetClasses(d.Classes, other.Classes)
+	}
+	if !sameMap(other.Numbers, before.Numbers) {
+		d.Numbers = meetNumbers(d.Numbers, other.Numbers)
+	}
+	if !sameSlice(other.Dropped, before.Dropped) {
+		d.Dropped = meetDropped(d.Dropped, other.Dropped)
+	}
+	d.Quota = meetQuota(d, other)
 }
 
 // Sound says what is wrong with a standing that has come from outside.
