--- a/internal/cluster/accord/cost_test.go
+++ b/internal/cluster/accord/cost_test.go
@@ -47,12 +47,18 @@
 	}
 }
 
-// costChange is a ban, or other numbers once a third of the proxies are gone.
+// costChange is a ban, or other numbers: of "one" proxy that is gone, of which another takes the number, or of a "third".
 func costChange(kind string, of *rules.State, id string) *rules.Change {
 	if kind == "ban" {
 		return &rules.Change{ID: id, Kind: rules.Suspend, Server: "node-" + id, Who: "ops", Why: "its disk fails, see ticket 4711", Form: 2}
 	}
 	numbers := map[string]int{}
+	if kind == "one" {
+		maps.Copy(numbers, of.InForce.Doc.Numbers)
+		delete(numbers, costName(7))
+		numbers[costName(costHolders-1)] = 7
+		return &rules.Change{ID: id, Kind: rules.Number, Numbers: numbers, Form: 2}
+	}
 	free := 0
 	for i := range costHolders {
 		if i%3 == 0 {
@@ -139,7 +145,7 @@
 // and that is told to all.
 func BenchmarkOneChange(b *testing.B) {
 	for _, by := range []string{"differences", "whole"} {
-		for _, kind := range []string{"ban", "numbers"} {
+		for _, kind := range []string{"ban", "one", "third"} {
 			b.Run(kind+"/"+by, func(b *testing.B) {
 				base := costDocument(b)
 				host := &countingHost{tb: b}
@@ -193,21 +199,32 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/(costHolders-2), "ns/acknowledgement")
 }
 
-// BenchmarkRenewal is one renewal at a leader where nothing has changed.
+// BenchmarkRenewal is one renewal at a leader where nothing has changed: it is read, granted, and the grant is written.
 func BenchmarkRenewal(b *testing.B) {
 	host := &countingHost{tb: b}
 	c, _ := leaderOfMany(b, host, costDocument(b), true)
 	m := &Message{Kind: Renew, From: costName(1), Boot: 1, Seq: 1, Holds: holdsOf(&c.voter.state.Rules.Standing), Form: 2, Deltas: true, Digest: c.voter.differences().digest}
+	text, err := m.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
 	for b.Loop() {
-		c.voter.grant(m)
+		read, err := Decode(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.voter.grant(read)
 	}
 }
 
 // BenchmarkHolder is what a message with one change costs its receiver: it is read, applied, and acted on.
 func BenchmarkHolder(b *testing.B) {
 	for _, by := range []string{"differences", "whole"} {
-		for _, kind := range []string{"ban", "numbers"} {
+		for _, kind := range []string{"ban", "one", "third"} {
 			for _, pending := range []int{1, rules.MostPending} {
+				if kind == "one" && pending > 1 {
+					continue // it cannot be made twice
+				}
 				b.Run(fmt.Sprintf("%s/%s/%d-pending", kind, by, pending), func(b *testing.B) {
 					state := costDocument(b)
 					for i := range pending - 1 {
@@ -258,7 +275,7 @@
 		t.Errorf("a document of %d bytes, %v", len(text), err)
 	}
 	before := maps.Clone(state.InForce.Doc.Numbers)
-	propose(t, state, costChange("numbers", state, "one"))
+	propose(t, state, costChange("third", state, "one"))
 	moved := 0
 	for name, n := range state.Pending[0].Doc.Numbers {
 		if before[name] != n {
--- a/internal/cluster/accord/store/store_test.go
+++ b/internal/cluster/accord/store/store_test.go
@@ -164,3 +164,33 @@
 		t.Errorf("a second process on the folder: %v", err)
 	}
 }
+
+// BenchmarkSaveActs is what a proxy writes at each change that it hears of, with documents of a fleet of 1,400, to the disk of temporary
+// files.
+func BenchmarkSaveActs(b *testing.B) {
+	for _, pending := range []int{0, 1, rules.MostPending} {
+		b.Run(fmt.Sprint(pending, "-pending"), func(b *testing.B) {
+			s, _, _, err := Open(b.TempDir(), "shelf", "n1")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			state := rules.NewState()
+			numbers := map[string]int{}
+			for i := range 1400 {
+				numbers[fmt.Sprintf("proxy-%04d", i)] = i
+			}
+			state.Propose(&rules.Change{ID: "numbers", Kind: rules.Number, Numbers: numbers, Form: 2})
+			state.Enforce(state.Last())
+			for i := range pending {
+				state.Propose(&rules.Change{ID: fmt.Sprint(i), Kind: rules.Suspend, Server: fmt.Sprint("node-", i)})
+			}
+			standing := state.Share()
+			for b.Loop() {
+				if err := s.SaveActs(standing); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/cluster/agreement/node.go
+++ b/internal/cluster/agreement/node.go
@@ -379,6 +379,8 @@
 		log.Info(LogRules, "version", of.InForce, "last", of.Last)
 	case accord.Forgetful, accord.Disk:
 		log.Error(LogSelf, "what", string(what), "error", of.Err)
+	case accord.Differs:
+		log.Warn(LogSelf, "what", string(what), "version", of.InForce, "last", of.Last)
 	default:
 		log.Info(LogSelf, "what", string(what), "of", of.Name)
 	}
--- a/internal/cluster/link/parcels_test.go
+++ b/internal/cluster/link/parcels_test.go
@@ -91,15 +91,12 @@
 	for range stuck {
 		from.Carry(silent, long[:len(long)-1])
 	}
-	began := time.Now()
 	from.Carry(to.Addr(), long[:40_000])
-	if body := <-ear.parcels; len(body) != 40_000 || time.Since(began) > streamTime {
-		t.Errorf("%d bytes after %v", len(body), time.Since(began))
+	body, givenUp := <-ear.parcels, from.Counts().Unsent
+	if len(body) != 40_000 || givenUp > 0 {
+		t.Errorf("%d bytes came once %d were given up", len(body), givenUp)
 	}
 	until(t, "given up", func() bool { return from.Counts().Unsent == stuck })
-	if took := time.Since(began); took < streamTime/2 || took > 5*streamTime {
-		t.Errorf("given up after %v", took)
-	}
 }
 
 // TestCloseWhileParcelsWait: Close ends the streams at once, what waits is counted as unsent, and nothing is taken in after it.
@@ -127,8 +124,8 @@
 	}
 	began := time.Now()
 	from.Close()
-	if took := time.Since(began); took > streamTime/2 {
-		t.Errorf("Close took %v", took)
+	if took := time.Since(began); took >= streamTime {
+		t.Errorf("Close took %v, as long as streams that nobody reads", took)
 	}
 	close(stop)
 	senders.Wait()
--- a/internal/cluster/rules/rules.go
+++ b/internal/cluster/rules/rules.go
@@ -380,8 +380,20 @@
 	if len(numbers) > MostMembers {
 		bad("number: %d of them; %d at most", len(numbers), MostMembers)
 	}
-	holder := map[int]string{}
-	for _, name := range slices.Sorted(maps.Keys(numbers)) {
+	holder := make(map[int]string, len(numbers)) // the first by name
+	for name, n := range numbers {
+		if other, taken := holder[n]; !taken || name < other {
+			holder[n] = name
+		}
+	}
+	var faulty []string // most have none, and are not put in order for that
+	for name, n := range numbers {
+		if n < 0 || holder[n] != name || checkText(name, MostID, false) != nil {
+			faulty = append(faulty, name)
+		}
+	}
+	slices.Sort(faulty)
+	for _, name := range faulty {
 		n := numbers[name]
 		if err := checkText(name, MostID, false); err != nil {
 			bad("number of %.40q: %w", name, err)
@@ -389,10 +401,9 @@
 		if n < 0 {
 			bad("number of %s: %d is below 0", name, n)
 		}
-		if other, taken := holder[n]; taken {
+		if other := holder[n]; other != name {
 			bad("number of %s: %d is %s's; no two may have one", name, n, other)
 		}
-		holder[n] = name
 	}
 	return errors.Join(errs...)
 }
