--- a/internal/cluster/accord/core.go
+++ b/internal/cluster/accord/core.go
@@ -294,7 +294,9 @@
 	if len(c.waiting) >= mostProposals {
 		return fmt.Errorf("accord: %d proposals wait for their answers", len(c.waiting))
 	}
-	change.Form = max(change.Form, change.Needs())
+	if needs := change.Needs(); needs > 1 {
+		change.Form = needs
+	}
 	p := &proposal{change: change, next: now + c.set.Times.Renew, until: now + proposalTime}
 	c.waiting = append(c.waiting, p)
 	c.toLeader(&Message{Kind: Propose, From: c.set.Name, Change: &p.change})
@@ -447,7 +449,7 @@
 		return true // the leader knows of no digests
 	case m.Holds != c.holds():
 		return c.verified // more has come since, by others' word
-	case m.Standing != nil:
+	case m.Standing != nil && m.Standing.Position() == c.standing.Position():
 		return true // what is here is what the grant has brought
 	}
 	return m.Digest == c.digest
