accord: a lease rests on what its holder has while what is new takes its time

A grant that carried a long difference or a whole document came by a stream, later than the holder waits for it, and leases ran out while nothing was wrong. Where what a holder lacks does not fit a datagram, its lease now rests on what it has said it has, as long as nothing that it does not know is in force or written into the log to be, and the rest goes beside it, once in a third of a lease.

--- a/internal/cluster/accord/cost_test.go
+++ b/internal/cluster/accord/cost_test.go
@@ -126,18 +126,18 @@
 	for i := 1; i < costHolders; i++ {
 		m := &Message{Kind: Renew, From: costName(i), Boot: 1, Seq: 1, Holds: holds, Form: 2, Deltas: deltas}
 		if deltas {
-			m.Digest = v.differences().digest
+			m.Digest = v.digests[holds]
 		}
 		c.Receive(now, m)
 	}
 	c.Wake(now + 100*time.Millisecond)
-	forgetWholes(c)
+	forgetLong(c)
 }
 
-// forgetWholes has the whole sent again at once, as before there were differences.
-func forgetWholes(c *Core) {
+// forgetLong has what is long sent again at once, as before there were differences.
+func forgetLong(c *Core) {
 	for _, l := range c.voter.leases {
-		l.wholeSent = 0
+		l.longSent = 0
 	}
 }
 
@@ -160,7 +160,7 @@
 						b.Fatal(err)
 					}
 					if !deltas {
-						forgetWholes(c)
+						forgetLong(c)
 					}
 					acknowledge(c, now, deltas)
 					acknowledge(c, now, deltas)
@@ -203,7 +203,7 @@
 func BenchmarkRenewal(b *testing.B) {
 	host := &countingHost{tb: b}
 	c, _ := leaderOfMany(b, host, costDocument(b), true)
-	m := &Message{Kind: Renew, From: costName(1), Boot: 1, Seq: 1, Holds: holdsOf(&c.voter.state.Rules.Standing), Form: 2, Deltas: true, Digest: c.voter.differences().digest}
+	m := &Message{Kind: Renew, From: costName(1), Boot: 1, Seq: 1, Holds: holdsOf(&c.voter.state.Rules.Standing), Form: 2, Deltas: true, Digest: c.voter.state.Rules.Standing.Digest()}
 	text, err := m.Encode()
 	if err != nil {
 		b.Fatal(err)
--- a/internal/cluster/accord/differences.go
+++ b/internal/cluster/accord/differences.go
@@ -6,63 +6,112 @@
 	"brasswell/internal/cluster/rules"
 )
 
-// wholeEvery is the share of a lease's time within which the whole standing goes to one holder once: it may take long, and a renewal
-// comes meanwhile. It delays who has not got it, and grants nobody more.
-const wholeEvery = 1. / 3
+const (
+	// longEvery is the share of a lease's time within which what is too long for a datagram goes to one holder once: it may take long,
+	// and a renewal comes meanwhile. It delays who has not got it, and grants nobody more.
+	longEvery = 1. / 3
+	// mostShort is the bytes of a difference that goes with a grant in one datagram, of 1,200 bytes.
+	mostShort = 900
+)
 
 // differences are what a leader has worked out for its newest standing: many holders lack the same.
 type differences struct {
 	of     Holds
-	digest rules.Digest
 	byBase map[Holds]*rules.Delta // nil for one that only the whole helps
 }
 
-// differences are those for the newest standing.
-func (v *voter) differences() *differences {
-	s := &v.state.Rules.Standing
-	if v.worked == nil || v.worked.of != holdsOf(s) {
-		v.worked = &differences{of: holdsOf(s), digest: s.Digest(), byBase: map[Holds]*rules.Delta{}}
-	}
-	return v.worked
-}
-
-// delta is what somebody lacks; nil where only the whole helps.
+// delta is what somebody lacks of the newest standing; nil where only the whole helps.
 func (v *voter) delta(has Holds) *rules.Delta {
-	work := v.differences()
-	d, known := work.byBase[has]
+	newest := holdsOf(&v.state.Rules.Standing)
+	if v.worked == nil || v.worked.of != newest || len(v.worked.byBase) > mostHolders {
+		v.worked = &differences{of: newest, byBase: map[Holds]*rules.Delta{}}
+	}
+	d, known := v.worked.byBase[has]
 	if !known {
 		var ok bool
 		if d, ok = rules.Between(v.state.Rules, rules.Position(has)); !ok || d.Freeze() != nil {
 			d = nil // which cannot be written goes out as a whole
 		}
-		work.byBase[has] = d
+		v.worked.byBase[has] = d
 	}
 	return d
 }
 
-// differs says whether who asks has something else than is here, under the same numbers.
+// noteDigest remembers the digest of the standing as it is now, and lets go of those on which no lease is granted any more.
+func (v *voter) noteDigest() {
+	s := &v.state.Rules.Standing
+	for of := range v.digests {
+		if of.Log != s.Log || of.Last < s.InForce.Number {
+			delete(v.digests, of)
+		}
+	}
+	if v.digests == nil {
+		v.digests = map[Holds]rules.Digest{}
+	}
+	v.digests[holdsOf(s)] = s.Digest()
+}
+
+// differs says whether who asks has something else than was here under the same numbers.
 func (v *voter) differs(m *Message) bool {
-	work := v.differences()
-	return m.Holds == work.of && m.Digest != 0 && m.Digest != work.digest && !v.c.set.NoDigest
+	digest, known := v.digests[m.Holds]
+	return known && m.Digest != 0 && m.Digest != digest && !v.c.set.NoDigest
 }
 
 // bring puts into a message what a holder lacks, and says whether it has: the difference where the holder understands it and its base
-// is known here, and the whole otherwise, unless that has just been sent.
+// is known here, and the whole otherwise. What is long is left out where something long has just been sent.
 func (v *voter) bring(m *Message, l *lease, has Holds) bool {
+	var d *rules.Delta
 	if l.deltas && !l.needsWhole {
-		if m.Delta = v.delta(has); m.Delta != nil {
-			return true
-		}
+		d = v.delta(has)
+	}
+	if d != nil && v.isShort(d) {
+		m.Delta = d
+		return true
 	}
 	now := v.c.now
-	if l.wholeSent != 0 && now < l.wholeSent+time.Duration(wholeEvery*float64(v.c.set.Times.Lease)) {
+	if l.longSent != 0 && now < l.longSent+time.Duration(longEvery*float64(v.c.set.Times.Lease)) {
 		return false
 	}
-	l.wholeSent = now
-	m.Standing = v.state.Rules.Share()
+	l.longSent = now
+	if m.Delta = d; d == nil {
+		m.Standing = v.state.Rules.Share()
+	}
 	return true
 }
 
+// isShort says whether a difference goes with a grant in one datagram.
+func (v *voter) isShort(d *rules.Delta) bool {
+	most := mostShort
+	if v.c.set.MostShort > 0 {
+		most = v.c.set.MostShort
+	}
+	return d.Size() <= most
+}
+
+// bringsLong says whether what a holder lacks is too long for a datagram.
+func (v *voter) bringsLong(l *lease, has Holds) bool {
+	if !l.deltas || l.needsWhole {
+		return true
+	}
+	d := v.delta(has)
+	return d == nil || !v.isShort(d)
+}
+
+// mayRest says whether a lease may rest on what a holder has said it has, though there is more: as long as nothing is in force, or may
+// come to be by what this leader has written into the log, that the holder does not know. A version that it does not know is kept from
+// being in force by the lease itself: see enforce.
+func (v *voter) mayRest(m *Message, l *lease) bool {
+	s := &v.state.Rules.Standing
+	if m.Holds.Log != s.Log || l.needsWhole || m.Holds.InForce > s.InForce.Number || m.Holds.Last < s.InForce.Number {
+		return false
+	}
+	if m.Holds.Last < v.enforcing && !v.c.set.NoEnforcing {
+		return false
+	}
+	_, known := v.digests[m.Holds]
+	return known
+}
+
 // outline is a standing without its documents, for who does not understand them: it takes none of them, and is to know that they
 // are there.
 func outline(s *rules.Standing) *rules.Standing {
--- a/internal/cluster/accord/differences_test.go
+++ b/internal/cluster/accord/differences_test.go
@@ -236,6 +236,42 @@
 	}
 }
 
+// TestALeaseRestsOnWhatIsThere while what is new takes its time: nothing that the holder does not know is in force meanwhile. Where it
+// never comes the lease ends, and the change is in force without the holder.
+func TestALeaseRestsOnWhatIsThere(t *testing.T) {
+	p := newPair(t)
+	p.leader = p.start("leader", Stored{}, func(s *Settings) { s.MostShort = 1 })
+	p.run(3 * time.Second)
+	p.holder = p.start("holder", Stored{}, nil)
+	p.run(time.Second)
+	p.lose = func(m *Message) bool { return delta(m) || whole(m) }
+	p.ban("node-0")
+	p.sent = nil
+	p.run(400 * time.Millisecond)
+	inForce := func() uint64 { return p.leader.voter.state.Rules.InForce.Number }
+	if p.basis.Mode(p.now) != Leased || p.basis.Until < p.now+500*time.Millisecond || p.basis.Last != 1 || inForce() != 1 {
+		t.Errorf("%v until %v at %v on version %d; %d in force", p.basis.Mode(p.now), p.basis.Until, p.now, p.basis.Last, inForce())
+	}
+	if n := p.count(func(m *Message) bool { return m.Kind == Grant && delta(m) }); n > 0 {
+		t.Errorf("%d grants with what is too long for them", n)
+	}
+	p.run(2 * time.Second)
+	if p.basis.Mode(p.now) == Leased || inForce() != 2 {
+		t.Errorf("%v on version %d; %d in force", p.basis.Mode(p.now), p.basis.Last, inForce())
+	}
+	// What it has is less than what is in force: no lease rests on that.
+	p.sent = nil
+	p.run(2 * time.Second)
+	if n := p.count(func(m *Message) bool { return m.Kind == Grant && m.Holds.Last < 2 }); n > 0 || p.basis.Mode(p.now) == Leased {
+		t.Errorf("%d grants on what is no longer in force, %v", n, p.basis.Mode(p.now))
+	}
+	p.lose = nil
+	p.run(time.Second)
+	if p.basis.Mode(p.now) != Leased || p.basis.Version != 2 {
+		t.Errorf("%v on version %d", p.basis.Mode(p.now), p.basis.Version)
+	}
+}
+
 // TestALateGrantBringsItsStanding: what comes after its renewal was given up gives no lease, but what it brings is known then, so that
 // the next grant needs not bring it again.
 func TestALateGrantBringsItsStanding(t *testing.T) {
--- a/internal/cluster/accord/leases.go
+++ b/internal/cluster/accord/leases.go
@@ -32,7 +32,7 @@
 	stalledSince time.Duration // since when it asks with the same and has been told of more; 0 if it does not
 	deltas       bool          // it understands differences
 	needsWhole   bool          // it has asked for the whole, or what it has differs from what is here
-	wholeSent    time.Duration // when the whole last went to it; 0 for never
+	longSent     time.Duration // when something too long for a datagram last went to it; 0 for never
 }
 
 // leaseOf is what is known of who asks; nil where no more can be remembered.
@@ -72,12 +72,28 @@
 		return
 	}
 	l.until, l.holds = now+v.c.set.Times.Guard(), m.Holds
-	g := &Message{Kind: Grant, Seq: m.Seq, Holds: current}
-	if l.deltas {
-		g.Digest = v.differences().digest
+	if m.Holds == current && !l.needsWhole {
+		v.answerGrant(m, l, &Message{Holds: current})
+		return
+	}
+	if v.bringsLong(l, m.Holds) && v.mayRest(m, l) {
+		// What it lacks takes its time. The lease does not wait for that, and rests on what the holder has.
+		v.answerGrant(m, l, &Message{Holds: m.Holds})
+		if tell := (&Message{Kind: Tell}); v.bring(tell, l, m.Holds) {
+			v.c.answer(m, tell)
+		}
+		return
 	}
-	if m.Holds != current || l.needsWhole {
-		v.bring(g, l, m.Holds) // without it the grant is of use where what was sent before has arrived meanwhile
+	g := &Message{Holds: current}
+	v.bring(g, l, m.Holds) // without it the grant is of use where what was sent before has arrived meanwhile
+	v.answerGrant(m, l, g)
+}
+
+// answerGrant answers a renewal by a grant on what it names.
+func (v *voter) answerGrant(m *Message, l *lease, g *Message) {
+	g.Kind, g.Seq = Grant, m.Seq
+	if l.deltas {
+		g.Digest = v.digests[g.Holds]
 	}
 	v.c.answer(m, g)
 }
@@ -108,7 +124,7 @@
 		upTo = s.Last()
 	}
 	if upTo > s.InForce.Number && v.appendCommand(&command{Enforce: upTo}) {
-		v.lastEnforce = now
+		v.lastEnforce, v.enforcing = now, max(v.enforcing, upTo)
 	}
 }
 
--- a/internal/cluster/accord/log.go
+++ b/internal/cluster/accord/log.go
@@ -98,6 +98,7 @@
 		state.Keepers = map[string]uint64{}
 	}
 	v.state, v.conf, v.applied, v.snapshotIndex = state, s.Metadata.GetConfState(), s.Metadata.GetIndex(), s.Metadata.GetIndex()
+	v.noteDigest()
 	return nil
 }
 
@@ -232,6 +233,7 @@
 	}
 	v.state.Rules = state
 	if holdsOf(&state.Standing) != before {
+		v.noteDigest()
 		v.c.adopt(state.Standing.Share())
 	}
 	if !v.leads {
--- a/internal/cluster/accord/model/model_test.go
+++ b/internal/cluster/accord/model/model_test.go
@@ -94,7 +94,7 @@
 
 // mix makes some of a story's members programs from before there were differences: of three stories one has none of them and corrupted
 // disks, one has them beside voters that are none and corrupted disks, and one has them among voters too. Those know of no digests, so
-// that no disk is corrupted where one of them may lead.
+// that no disk is corrupted where one of them may lead. In every other pair of stories no difference goes with a grant.
 func mix(c *Config, seed uint64) {
 	keepers := c.Story.Keepers
 	names := c.Story.Names()
@@ -110,7 +110,12 @@
 			older[name] = (seed/3+uint64(i))%2 == 0
 		}
 	}
-	c.Set = func(s *accord.Settings) { s.NoDeltas = older[s.Name] }
+	c.Set = func(s *accord.Settings) {
+		s.NoDeltas = older[s.Name]
+		if seed/2%2 == 1 {
+			s.MostShort = 1 // all is long, and leases rest on what proxies have
+		}
+	}
 }
 
 // linearizable says whether there is one order of all answered changes in which each is made between its asking and its telling, and
@@ -175,15 +180,17 @@
 	for name, defence := range map[string]struct {
 		set     func(*accord.Settings)
 		corrupt float64
+		first   uint64 // seed, where it takes many to find it
 	}{
 		"no lease check": {set: func(s *accord.Settings) { s.NoLeaseCheck = true }},
 		"no prepared":    {set: func(s *accord.Settings) { s.NoPrepared = true }},
 		"no wait":        {set: func(s *accord.Settings) { s.NoWait = true }},
 		"no confirm":     {set: func(s *accord.Settings) { s.NoConfirm = true }},
 		"no digest":      {set: func(s *accord.Settings) { s.NoDigest = true }, corrupt: 0.5},
+		"no enforcing":   {set: func(s *accord.Settings) { s.NoEnforcing, s.MostShort = true, 1 }, first: 80},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(400) {
+			for seed := defence.first; seed < defence.first+400; seed++ {
 				f := play(t, Config{Story: drawn(seed, 6, 3), Drift: 0.02, Set: defence.set, Corrupt: defence.corrupt})
 				if f.Figures.Leased > 0 {
 					t.Logf("found with seed %d, for %v", seed, f.Figures.Leased)
--- a/internal/cluster/accord/types.go
+++ b/internal/cluster/accord/types.go
@@ -91,9 +91,12 @@
 	NoWait       bool // a new leader does not wait for the leases of the one before
 	NoConfirm    bool // leases are granted without hearing from a majority
 	NoDigest     bool // what a proxy has is not compared with what is vouched for, but by its number
+	NoEnforcing  bool // a lease may rest on what a proxy has though the leader has written into the log that more is in force
 
 	// NoDeltas: whole standings alone are sent and taken, as by programs from before there were differences.
 	NoDeltas bool
+	// MostShort is the bytes of a difference that goes with a grant; 0 stands for what fits a datagram.
+	MostShort int
 }
 
 // form is that of documents which this program understands.
--- a/internal/cluster/accord/voter.go
+++ b/internal/cluster/accord/voter.go
@@ -28,15 +28,17 @@
 
 // voter is a replica of the log that votes: one of the proxies that the settings name. Its methods run on the core's owner.
 type voter struct {
-	c      *Core
-	id     uint64 // of the log
-	log    *raft.MemoryStorage
-	raft   *raft.RawNode
-	state  *replicatedState
-	conf   *raftpb.ConfState
-	empty  bool // the log holds nothing yet
-	halted bool
-	term   uint64
+	c     *Core
+	id    uint64 // of the log
+	log   *raft.MemoryStorage
+	raft  *raft.RawNode
+	state *replicatedState
+	conf  *raftpb.ConfState
+	// digests are those of the standings that there were, as far as leases may still rest on them.
+	digests map[Holds]rules.Digest
+	empty   bool // the log holds nothing yet
+	halted  bool
+	term    uint64
 
 	applied, snapshotIndex uint64
 	nextHello              time.Duration // when the next round of hellos is due
@@ -66,6 +68,7 @@
 	sentSnapshots  []uint64            // the logs that one was sent to since the last heartbeat
 	worked         *differences        // for the newest standing; nil for not yet
 	slowest        *lease              // of a holder that kept all versions from being in force when last looked; nil for none
+	enforcing      uint64              // the newest version that an entry of this leader's brings into force, agreed or not
 	lastEnforce    time.Duration       // when an entry that enforces was last written
 }
 
--- a/internal/cluster/rules/delta.go
+++ b/internal/cluster/rules/delta.go
@@ -73,6 +73,9 @@
 	ErrDigest = errors.New("delta: what results has another digest")
 )
 
+// Size is the bytes of a delta that has been frozen.
+func (d *Delta) Size() int { return len(d.encoded) }
+
 // Last is the number of the newest version that a delta leads to.
 func (d *Delta) Last() uint64 {
 	if n := len(d.Differences); n > 0 {
