--- a/internal/cluster/accord/types_test.go
+++ b/internal/cluster/accord/types_test.go
@@ -13,6 +13,8 @@
 		{Kind: Grant, From: "n1", To: "n2", Path: []string{"n3"}, Standing: &rules.Standing{InForce: rules.Version{Number: 1}}},
 		{Kind: Propose, From: "n1", Change: &rules.Change{ID: "a", Kind: rules.Suspend, Server: "node-00"}},
 		{Kind: Raft, From: "n1", Raft: []byte{8, 1}},
+		{Kind: Renew, From: "n1", Seq: 7, Holds: Holds{Log: 1, InForce: 2, Last: 3}, Form: 2, Deltas: true, Whole: true, Digest: 9},
+		{Kind: Tell, From: "n1", To: "n4", Delta: &rules.Delta{Base: 1, InForce: 1, Differences: []rules.Difference{{Number: 2, Bans: map[string]rules.Ban{"a": {}}}}}},
 	} {
 		text, err := m.Encode()
 		if err != nil {
