--- a/internal/cluster/agreement/node_test.go
+++ b/internal/cluster/agreement/node_test.go
@@ -145,3 +145,33 @@
 		t.Errorf("%+v, %v", r, err)
 	}
 }
+
+// topics is a carrier that notes under which topic each parcel goes out.
+type topics struct {
+	end
+	seen []string
+}
+
+func (c *topics) Carry(to string, _ []byte) { c.seen = append(c.seen, to) }
+
+func (c *topics) CarryLatest(to, topic string, _ []byte) { c.seen = append(c.seen, to+": "+topic) }
+
+// TestNewerGrantsAndTellsTakeTheirPlace: those of one kind for one proxy replace each other where they wait, and nothing else does.
+func TestNewerGrantsAndTellsTakeTheirPlace(t *testing.T) {
+	c := &topics{}
+	n := &Node{carrier: c}
+	n.addresses.Store(&map[string]string{"a": "at-a", "b": "at-b"})
+	for _, m := range []struct {
+		to string
+		m  accord.Message
+	}{
+		{"a", accord.Message{Kind: accord.Grant, From: "l", To: "a"}}, {"a", accord.Message{Kind: accord.Tell, From: "l", To: "a"}},
+		{"b", accord.Message{Kind: accord.Grant, From: "l", To: "a", Path: []string{"b"}}}, {"a", accord.Message{Kind: accord.Raft, From: "l", To: "a"}},
+		{"gone", accord.Message{Kind: accord.Tell, From: "l", To: "gone"}},
+	} {
+		host{n}.Send(m.to, &m.m)
+	}
+	if want := []string{"at-a: grant a", "at-a: tell a", "at-b: grant a", "at-a"}; !slices.Equal(c.seen, want) {
+		t.Errorf("%q; wanted %q", c.seen, want)
+	}
+}
