accord: leases rest on less than is agreed only within the stated time

One that rested on an older version for as long as renewals came could outlast the stated time where the leader is lost meanwhile: election, a renewal, half a lease and a lease are 2.3 s, and 1.98 s is stated. Now such leases are granted only until the stated time leaves no whole lease, counted from when this leader saw the version agreed, and never for versions of a leader before.

--- a/internal/cluster/accord/differences.go
+++ b/internal/cluster/accord/differences.go
@@ -1,6 +1,7 @@
 package accord
 
 import (
+	"maps"
 	"time"
 
 	"brasswell/internal/cluster/rules"
@@ -109,7 +110,27 @@
 		return false
 	}
 	_, known := v.digests[m.Holds]
-	return known
+	return known && v.restsInTime(m.Holds.Last+1)
+}
+
+// restsInTime says whether a lease that is granted now, to who does not know a version, is over by the stated time after that was
+// agreed, whatever becomes of this leader. Of a version that came from a leader before it is not known when that was.
+func (v *voter) restsInTime(unknown uint64) bool {
+	if unknown > v.state.Rules.Last() {
+		return true // it knows all that there is
+	}
+	t := &v.c.set.Times
+	at, known := v.agreedAt[unknown]
+	return known && v.c.now <= at+t.Election+t.Renew+t.Patience // see Times.Bound, which has a lease's time beside these
+}
+
+// noteAgreed remembers when the newest version was agreed, where that was under this leader, and lets go of those in force.
+func (v *voter) noteAgreed() {
+	s := &v.state.Rules.Standing
+	maps.DeleteFunc(v.agreedAt, func(n uint64, _ time.Duration) bool { return n <= s.InForce.Number })
+	if v.leads && v.ownTermApplied {
+		v.agreedAt[s.Last()] = v.c.now
+	}
 }
 
 // outline is a standing without its documents, for who does not understand them: it takes none of them, and is to know that they
--- a/internal/cluster/accord/differences_test.go
+++ b/internal/cluster/accord/differences_test.go
@@ -272,6 +272,37 @@
 	}
 }
 
+// TestLeasesRestWithinTheStatedTime: no lease is granted on less than is agreed once one would last beyond the stated time, and none for
+// a version of a leader before.
+func TestLeasesRestWithinTheStatedTime(t *testing.T) {
+	p := newPair(t)
+	p.leader = p.start("leader", Stored{}, func(s *Settings) { s.MostShort = 1 })
+	p.run(3 * time.Second)
+	p.holder = p.start("holder", Stored{}, nil)
+	p.run(time.Second)
+	p.lose = func(m *Message) bool { return delta(m) || whole(m) }
+	p.ban("node-0")
+	agreed := p.now
+	v := p.leader.voter
+	if !v.restsInTime(2) || v.restsInTime(1) || !v.restsInTime(3) {
+		t.Errorf("after it was agreed: %v", v.agreedAt)
+	}
+	p.run(3 * time.Second)
+	if bound := DefaultTimes().Bound(); p.basis.Last != 1 || p.basis.Until > agreed+bound {
+		t.Errorf("a lease on version %d until %v; agreed at %v, and %v is stated", p.basis.Last, p.basis.Until, agreed, bound)
+	}
+	p.now = agreed + DefaultTimes().Bound()
+	v.c.now = p.now
+	if v.agreedAt[2] = agreed; v.restsInTime(2) {
+		t.Error("a lease may rest on less than is agreed for longer than is stated")
+	}
+	v.setRole(false)
+	v.setRole(true)
+	if v.restsInTime(2) {
+		t.Error("a lease rests on less than a leader before has agreed on")
+	}
+}
+
 // TestALateGrantBringsItsStanding: what comes after its renewal was given up gives no lease, but what it brings is known then, so that
 // the next grant needs not bring it again.
 func TestALateGrantBringsItsStanding(t *testing.T) {
--- a/internal/cluster/accord/election.go
+++ b/internal/cluster/accord/election.go
@@ -109,7 +109,7 @@
 	now := v.c.now
 	v.leads, v.ownTermApplied, v.silentUntil = leads, false, 0
 	v.leases, v.unconfirmed, v.rounds, v.proposers, v.sentSnapshots = nil, nil, nil, nil, nil
-	v.worked, v.slowest, v.enforcing = nil, nil, 0
+	v.worked, v.slowest, v.enforcing, v.agreedAt = nil, nil, 0, map[uint64]time.Duration{}
 	if !leads {
 		v.leaderHeard = now
 		v.resetTimeout()
--- a/internal/cluster/accord/log.go
+++ b/internal/cluster/accord/log.go
@@ -222,6 +222,7 @@
 	state := v.state.Rules.Clone()
 	before := holdsOf(&state.Standing)
 	var answer *rules.Answer
+	last := state.Last()
 	if cmd.Propose != nil {
 		a := state.Propose(cmd.Propose)
 		answer = &a
@@ -234,6 +235,9 @@
 	v.state.Rules = state
 	if holdsOf(&state.Standing) != before {
 		v.noteDigest()
+		if state.Last() > last {
+			v.noteAgreed()
+		}
 		v.c.adopt(state.Standing.Share())
 	}
 	if !v.leads {
--- a/internal/cluster/accord/voter.go
+++ b/internal/cluster/accord/voter.go
@@ -64,12 +64,13 @@
 	unconfirmed    []*Message            // renewals that no round has yet
 	rounds         map[uint64][]*Message // renewals by the round that is to confirm them
 	round          uint64
-	proposers      map[string]*Message // who proposed, by the change's id
-	sentSnapshots  []uint64            // the logs that one was sent to since the last heartbeat
-	worked         *differences        // for the newest standing; nil for not yet
-	slowest        *lease              // of a holder that kept all versions from being in force when last looked; nil for none
-	enforcing      uint64              // the newest version that an entry of this leader's brings into force, agreed or not
-	lastEnforce    time.Duration       // when an entry that enforces was last written
+	proposers      map[string]*Message      // who proposed, by the change's id
+	sentSnapshots  []uint64                 // the logs that one was sent to since the last heartbeat
+	worked         *differences             // for the newest standing; nil for not yet
+	slowest        *lease                   // of a holder that kept all versions from being in force when last looked; nil for none
+	enforcing      uint64                   // the newest version that an entry of this leader's brings into force, agreed or not
+	agreedAt       map[uint64]time.Duration // when versions on their way were agreed, of those that were under this leader
+	lastEnforce    time.Duration            // when an entry that enforces was last written
 }
 
 // startVoter makes this proxy a voter.
