--- a/internal/cluster/accord/core.go
+++ b/internal/cluster/accord/core.go
@@ -16,7 +16,7 @@
 	Send(to string, m *Message)
 	// Save makes a record last. Nothing that rests on it has been said before; after an error nothing will be.
 	Save(r *Record) error
-	// Keep makes what this proxy knows last: it is about to say that it has it, and a start that reaches no keeper must know it too.
+	// Keep makes what this proxy knows last: it is about to say that it has it, and a start that reaches no voter must know it too.
 	// Where it fails that is the host's to tell; the proxy goes on.
 	Keep(s *rules.Standing)
 	// Acts replaces what this proxy's acts rest on.
@@ -42,6 +42,7 @@
 	Changed   Event = "keepers changed"
 	Refounded Event = "goes on alone, in place of the other keepers"
 	Later     Event = "the agreed rules are of a later version of the program; this one acts carefully and holds no lease until it is upgraded"
+	Differs   Event = "what is acted on here is not what the voters have under the same number; the whole is asked for"
 	GivenUp   Event = "was given up for good while it was away; begins anew"
 )
 
@@ -84,22 +85,26 @@
 
 	// As a holder of a lease:
 	standing rules.Standing // version 0 while nothing is known
-	until    time.Duration
-	tested   time.Duration
-	renew    time.Duration // when it is next asked for
-	sent     []asked       // the oldest first
-	later    bool          // a standing was of a form that is not understood, and that has been told
-	seq      uint64
-	route    string // to whom a renewal went that was answered; "" for none
-	missed   int    // renewals in a row that were not
-	peers    []string
-	waiting  []*proposal
-	basis    Basis
-
-	keeper *keeper // nil where it is none
-}
-
-// New returns the core of a proxy that starts now. Stored is what its disk holds of a keeper's log.
+	digest   rules.Digest   // of the standing
+	verified bool           // the standing has come from voters since the start, whole or proven by its digest
+	// needsWhole: what is known here was found to differ from what others know by the same number.
+	needsWhole bool
+	until      time.Duration
+	tested     time.Duration
+	renew      time.Duration // when it is next asked for
+	sent       []asked       // the oldest first
+	later      bool          // a standing was of a form that is not understood, and that has been told
+	seq        uint64
+	route      string // to whom a renewal went that was answered; "" for none
+	missed     int    // renewals in a row that were not
+	peers      []string
+	waiting    []*proposal
+	basis      Basis
+
+	voter *voter // nil where it is none
+}
+
+// New returns the core of a proxy that starts now. Stored is what its disk holds of a voter's log.
 func New(now time.Duration, s Settings, seed uint64, disk Stored, host Host) (*Core, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
@@ -107,10 +112,12 @@
 	c := &Core{set: s, host: host, rng: rand.New(rand.NewPCG(seed, 0xacc0)), now: now, until: now - 1, tested: -1, renew: now}
 	c.seq = c.rng.Uint64() >> 1
 	if disk.Acts != nil {
-		c.standing = *disk.Acts // as what is known without a lease
+		c.standing = *disk.Acts.Share() // as what is known without a lease
+		c.standing.Compact()
+		c.digest = c.standing.Digest()
 	}
 	if slices.Contains(s.Keepers, s.Name) && !s.Later {
-		if err := c.keep(now, disk); err != nil {
+		if err := c.startVoter(now, disk); err != nil {
 			return nil, err
 		}
 	}
@@ -118,20 +125,20 @@
 	return c, nil
 }
 
-// Keep makes a proxy that the settings name a keeper one, where its disk could not be had at the start.
+// Keep makes a proxy that the settings name a voter one, where its disk could not be had at the start.
 func (c *Core) Keep(now time.Duration, disk Stored) error {
 	c.now = now
-	if c.keeper != nil || !slices.Contains(c.set.Keepers, c.set.Name) {
+	if c.voter != nil || !slices.Contains(c.set.Keepers, c.set.Name) {
 		return nil
 	}
-	return c.keep(now, disk)
+	return c.startVoter(now, disk)
 }
 
 // Keeps says whether this proxy holds the log now.
-func (c *Core) Keeps() bool { return c.keeper != nil && !c.keeper.halted }
+func (c *Core) Keeps() bool { return c.voter != nil && !c.voter.halted }
 
-// Leads says whether this proxy leads the keepers, and has since its log says so.
-func (c *Core) Leads() bool { return c.Keeps() && c.keeper.own }
+// Leads says whether this proxy leads the voters, and has since its log says so.
+func (c *Core) Leads() bool { return c.Keeps() && c.voter.ownTermApplied }
 
 // Next is when Wake is to be called at the latest.
 func (c *Core) Next() time.Duration {
@@ -142,8 +149,8 @@
 	for _, p := range c.waiting {
 		next = min(next, p.next)
 	}
-	if c.keeper != nil {
-		next = min(next, c.keeper.next())
+	if c.voter != nil {
+		next = min(next, c.voter.nextWake())
 	}
 	return next
 }
@@ -163,22 +170,22 @@
 			c.toLeader(&Message{Kind: Propose, From: c.set.Name, Change: &p.change})
 		}
 	}
-	if c.keeper != nil {
-		c.keeper.wake()
+	if c.voter != nil {
+		c.voter.wake()
 	}
 }
 
-// guard ends this proxy's part as a keeper where the log's library finds what it holds to be impossible, and panics.
+// guard ends this proxy's part as a voter where the log's library finds what it holds to be impossible, and panics.
 //
-// It guards serving against a folder that is older than what it has said, and against whoever sends what no keeper would. It costs
-// a keeper, until that is restarted, where the fault was the network's; and it must not hide faults of this package, so what was
+// It guards serving against a folder that is older than what it has said, and against whoever sends what no voter would. It costs
+// a voter, until that is restarted, where the fault was the network's; and it must not hide faults of this package, so what was
 // found is told.
 func (c *Core) guard() {
 	if r := recover(); r != nil {
-		if c.keeper == nil || c.keeper.halted {
+		if c.voter == nil || c.voter.halted {
 			panic(r) // not the log's
 		}
-		c.keeper.halt(fmt.Errorf("accord: the log: %v", r))
+		c.voter.halt(fmt.Errorf("accord: the log: %v", r))
 	}
 }
 
@@ -211,32 +218,36 @@
 	if c.sent = append(c.sent, asked{c.seq, c.now, to}); len(c.sent) > mostSent {
 		c.sent = c.sent[1:]
 	}
-	c.send(to, &Message{Kind: Renew, From: c.set.Name, Boot: c.set.Boot, Seq: c.seq, Holds: c.holds(), Form: c.set.form()})
+	m := &Message{Kind: Renew, From: c.set.Name, Boot: c.set.Boot, Seq: c.seq, Holds: c.holds(), Form: c.set.form()}
+	if !c.set.NoDeltas {
+		m.Deltas, m.Whole, m.Digest = true, c.needsWhole, c.digest
+	}
+	c.send(to, m)
 }
 
 // understands says whether a standing is of a form that this program knows. What it does not know forbids something, so it must not
 // act on the rest as if that were all.
-func (c *Core) understands(s *rules.Standing) bool {
-	if s.Form <= c.set.form() {
+func (c *Core) understands(form uint8, at rules.Position) bool {
+	if form <= c.set.form() {
 		c.later = false
 		return true
 	}
 	if !c.later {
 		c.later = true
-		c.host.Told(Later, Note{InForce: s.InForce.Number, Last: s.Last()})
+		c.host.Told(Later, Note{InForce: at.InForce, Last: at.Last})
 	}
 	return false
 }
 
-// first is to whom something for the leader goes first: where that worked, or the leader that this keeper knows, or any
-// keeper; and after some misses through another proxy, which may reach them.
+// first is to whom something for the leader goes first: where that worked, or the leader that this voter knows, or any
+// voter; and after some misses through another proxy, which may reach them.
 func (c *Core) first() string {
 	if c.route != "" {
 		return c.route
 	}
-	if k := c.keeper; k != nil {
+	if v := c.voter; v != nil {
 		// Who leads asks itself: others would pass its request back to it, and drop it for that.
-		if name := k.leader(); name == c.set.Name || name != "" && c.missed%2 == 0 {
+		if name := v.leader(); name == c.set.Name || name != "" && c.missed%2 == 0 {
 			return name
 		}
 	}
@@ -283,26 +294,29 @@
 	if len(c.waiting) >= mostProposals {
 		return fmt.Errorf("accord: %d proposals wait for their answers", len(c.waiting))
 	}
+	if needs := change.Needs(); needs > 1 {
+		change.Form = needs
+	}
 	p := &proposal{change: change, next: now + c.set.Times.Renew, until: now + proposalTime}
 	c.waiting = append(c.waiting, p)
 	c.toLeader(&Message{Kind: Propose, From: c.set.Name, Change: &p.change})
-	if c.keeper != nil {
-		c.keeper.pump()
+	if c.voter != nil {
+		c.voter.processReady()
 	}
 	return nil
 }
 
-// Refound has this keeper go on alone with what it holds, in place of a majority that is lost for good. What the others had
+// Refound has this voter go on alone with what it holds, in place of a majority that is lost for good. What the others had
 // agreed on without it is lost, and what it had heard of and they had not agreed on stands. Keepers of before that come back begin
 // anew once they hear of it; until then they could grant leases on the old rules.
 func (c *Core) Refound(now time.Duration) error {
 	c.now = now
-	if c.keeper == nil || c.keeper.halted || c.keeper.fresh {
+	if c.voter == nil || c.voter.halted || c.voter.empty {
 		return errors.New("accord: this proxy is no keeper, or holds nothing that could be gone on from")
 	}
-	err := c.keeper.refound()
+	err := c.voter.refound()
 	if err == nil {
-		c.keeper.pump()
+		c.voter.processReady()
 	}
 	return err
 }
@@ -312,15 +326,15 @@
 	c.now = now
 	defer c.guard()
 	c.handle(m)
-	if c.keeper != nil {
-		c.keeper.pump()
+	if c.voter != nil {
+		c.voter.processReady()
 	}
 }
 
 func (c *Core) handle(m *Message) {
 	switch m.Kind {
 	case Renew, Propose, Have:
-		if c.keeper != nil && c.keeper.takes(m) {
+		if c.voter != nil && c.voter.handleRequest(m) {
 			return
 		}
 		c.passOn(m)
@@ -333,13 +347,13 @@
 		case Grant:
 			c.granted(m)
 		case Tell:
-			c.adopt(m.Standing)
+			c.told(m)
 		case Result:
 			c.result(m.Answer)
 		}
 	case Raft, Hello:
-		if c.keeper != nil {
-			c.keeper.receive(m)
+		if c.voter != nil {
+			c.voter.receive(m)
 		}
 	}
 }
@@ -350,8 +364,8 @@
 		return
 	}
 	to := c.route
-	if c.keeper != nil {
-		to = c.keeper.leader()
+	if c.voter != nil {
+		to = c.voter.leader()
 	} else if to == "" {
 		to = c.set.Keepers[c.rng.IntN(len(c.set.Keepers))]
 	}
@@ -391,24 +405,34 @@
 func (c *Core) granted(m *Message) {
 	i := slices.IndexFunc(c.sent, func(a asked) bool { return a.seq == m.Seq })
 	if i < 0 {
-		return // too late, or never asked
+		c.told(m) // too late for a lease, or never asked; what it brings is as good as if it came by itself
+		return
 	}
 	a := c.sent[i]
-	if m.Standing != nil {
+	if m.Digest != 0 && m.Holds == c.holds() && m.Digest != c.digest && !c.set.NoDigest {
+		c.differs()
+	}
+	switch {
+	case m.Standing != nil:
 		if m.Standing.Reign < c.standing.Reign {
-			return // from keepers that do not know yet that they were given up for good
+			return // from voters that do not know yet that they were given up for good
 		}
-		if !c.understands(m.Standing) {
+		if !c.understands(m.Standing.Form, m.Standing.Position()) {
 			return
 		}
 		if m.Standing.Log != c.standing.Log {
 			c.take(m.Standing) // a majority vouches for it, and what is here is of another log
 		}
 		c.adopt(m.Standing)
+	case m.Delta != nil:
+		c.applyDelta(m.Delta)
 	}
 	if h := c.holds(); h.Log != m.Holds.Log || h.Last < m.Holds.Last || h.InForce < m.Holds.InForce && h.Last == m.Holds.Last {
 		return // it vouches for what this proxy does not have
 	}
+	if !c.vouchedFor(m) {
+		return
+	}
 	c.sent = slices.Delete(c.sent, 0, i+1)
 	c.route, c.missed = a.to, 0
 	if until := a.at + c.set.Times.Lease; until > c.until {
@@ -417,20 +441,73 @@
 	}
 }
 
-// adopt acts on a newer standing, and says so.
+// vouchedFor says whether a grant vouches for the content of what this proxy has, and not by its number alone: a disk may hold
+// another document under that.
+func (c *Core) vouchedFor(m *Message) bool {
+	switch {
+	case m.Digest == 0 || c.set.NoDigest || c.set.NoDeltas:
+		return true // the leader knows of no digests
+	case m.Holds != c.holds():
+		return c.verified // more has come since, by others' word
+	case m.Standing != nil && m.Standing.Position() == c.standing.Position():
+		return true // what is here is what the grant has brought
+	}
+	return m.Digest == c.digest
+}
+
+// told takes in what a leader has brought, without a lease.
+func (c *Core) told(m *Message) {
+	switch {
+	case m.Standing != nil:
+		c.adopt(m.Standing)
+	case m.Delta != nil:
+		c.applyDelta(m.Delta)
+	}
+}
+
+// adopt acts on a standing that is newer, or that mends what is here, and says so.
 func (c *Core) adopt(s *rules.Standing) {
-	if !s.NewerThan(&c.standing) || !c.understands(s) {
+	mends := c.needsWhole && s.Position() == c.standing.Position()
+	if !mends && !s.NewerThan(&c.standing) || !c.understands(s.Form, s.Position()) {
 		return
 	}
 	c.take(s)
 }
 
+// applyDelta acts on what a delta leads to, if that is newer. Where its base is not here nothing is taken: the next renewal says what
+// is here. Where what results is not what the leader has, the next renewal asks for the whole.
+func (c *Core) applyDelta(d *rules.Delta) {
+	if c.set.NoDeltas || d.Log != c.standing.Log || !d.NewerThan(&c.standing) || !c.understands(d.Form, d.Position()) {
+		return
+	}
+	next, err := rules.Apply(&c.standing, d)
+	if errors.Is(err, rules.ErrDigest) && c.set.NoDigest {
+		err = nil
+	}
+	switch {
+	case err == nil:
+		c.take(next)
+	case !errors.Is(err, rules.ErrBase):
+		c.differs()
+	}
+}
+
+// differs notes that what is here is not what the leader has by the same numbers.
+func (c *Core) differs() {
+	if !c.needsWhole {
+		c.needsWhole = true
+		c.host.Told(Differs, Note{InForce: c.standing.InForce.Number, Last: c.standing.Last()})
+	}
+}
+
 func (c *Core) take(s *rules.Standing) {
-	c.standing = *s
+	c.standing, c.digest = *s, s.Digest()
+	c.verified, c.needsWhole = true, false
+	c.basis.Doc = nil // also where the numbers are the same, the content may be another
 	c.publish()
 	c.host.Keep(s)
 	c.host.Told(Learned, Note{InForce: s.InForce.Number, Last: s.Last()})
-	c.toLeader(&Message{Kind: Have, From: c.set.Name, Boot: c.set.Boot, Holds: c.holds()})
+	c.toLeader(&Message{Kind: Have, From: c.set.Name, Boot: c.set.Boot, Holds: c.holds(), Deltas: !c.set.NoDeltas})
 }
 
 // result takes in what became of a proposal.
@@ -471,7 +548,7 @@
 	Keepers  map[string]bool // those that the log names, and whether each votes; nil at a proxy that holds no log
 	Halted   bool
 	Holders  []Holder        // at the leader, by name
-	History  []rules.Version // at a keeper
+	History  []rules.Version // at a voter
 }
 
 // Holder is a proxy as the leader sees it.
@@ -484,8 +561,8 @@
 // Report says how this proxy stands.
 func (c *Core) Report(now time.Duration) Report {
 	r := Report{Standing: c.standing, Basis: c.basis, Leader: c.route}
-	if c.keeper != nil {
-		c.keeper.report(now, &r)
+	if c.voter != nil {
+		c.voter.report(now, &r)
 	}
 	return r
 }
--- /dev/null
+++ b/internal/cluster/accord/leases.go
@@ -0,0 +1,168 @@
+package accord
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// mostAsking requests wait for a majority at one time.
+	mostAsking = 4096
+	// mostHolders are remembered by a leader.
+	mostHolders = 4096
+)
+
+// holder is a process that may hold a lease: a proxy has two during an upgrade, and what one of them has said the other has not.
+type holder struct {
+	name string
+	boot uint64
+}
+
+func compareHolders(a, b holder) int {
+	return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.boot, b.boot))
+}
+
+// lease is what a leader knows of a holder.
+type lease struct {
+	until        time.Duration // on this clock, it may hold as long
+	holds        Holds
+	form         uint8
+	stalledSince time.Duration // since when it asks with the same and has been told of more; 0 if it does not
+	deltas       bool          // it understands differences
+	needsWhole   bool          // it has asked for the whole, or what it has differs from what is here
+	longSent     time.Duration // when something too long for a datagram last went to it; 0 for never
+}
+
+// leaseOf is what is known of who asks; nil where no more can be remembered.
+func (v *voter) leaseOf(m *Message) *lease {
+	who := holder{m.From, m.Boot}
+	l := v.leases[who]
+	if l == nil && len(v.leases) < mostHolders {
+		l = &lease{}
+		v.leases[who] = l
+	}
+	return l
+}
+
+// grant gives a proxy a lease on what is applied here, and with it what it lacks.
+func (v *voter) grant(m *Message) {
+	l := v.leaseOf(m)
+	if l == nil {
+		return // it goes on without one
+	}
+	s, now := &v.state.Rules.Standing, v.c.now
+	current := holdsOf(s)
+	l.form, l.deltas = m.Form, m.Deltas && !v.c.set.NoDeltas
+	l.needsWhole = m.Whole || l.deltas && v.differs(m)
+	switch {
+	case s.Form > max(m.Form, 1):
+		v.c.answer(m, &Message{Kind: Tell, Standing: outline(s)}) // it says so to its operators
+		return
+	case m.Holds == current:
+		l.stalledSince = 0
+	case l.stalledSince == 0 || m.Holds != l.holds:
+		l.stalledSince = now
+	case now-l.stalledSince > v.c.set.Times.Lease/2:
+		// It is heard and hears nothing. With a lease that it does not know of it would keep every change from being in force.
+		if tell := (&Message{Kind: Tell}); v.bring(tell, l, m.Holds) {
+			v.c.answer(m, tell)
+		}
+		return
+	}
+	l.until, l.holds = now+v.c.set.Times.Guard(), m.Holds
+	if m.Holds == current && !l.needsWhole {
+		v.answerGrant(m, l, &Message{Holds: current})
+		return
+	}
+	if v.bringsLong(l, m.Holds) && v.mayRest(m, l) {
+		// What it lacks takes its time. The lease does not wait for that, and rests on what the holder has.
+		v.answerGrant(m, l, &Message{Holds: m.Holds})
+		if tell := (&Message{Kind: Tell}); v.bring(tell, l, m.Holds) {
+			v.c.answer(m, tell)
+		}
+		return
+	}
+	g := &Message{Holds: current}
+	v.bring(g, l, m.Holds) // without it the grant is of use where what was sent before has arrived meanwhile
+	v.answerGrant(m, l, g)
+}
+
+// answerGrant answers a renewal by a grant on what it names.
+func (v *voter) answerGrant(m *Message, l *lease, g *Message) {
+	g.Kind, g.Seq = Grant, m.Seq
+	if l.deltas {
+		g.Digest = v.digests[g.Holds]
+	}
+	v.c.answer(m, g)
+}
+
+// maintain does what a leader has to do now and then.
+func (v *voter) maintain() {
+	now := v.c.now
+	for h, l := range v.leases {
+		if now > l.until+replaceAfter*v.c.set.Times.Election {
+			delete(v.leases, h)
+		}
+	}
+	v.enforce()
+	v.membership()
+}
+
+// enforce brings versions into force that no lease stands against.
+func (v *voter) enforce() {
+	s, t, now := &v.state.Rules.Standing, &v.c.set.Times, v.c.now
+	if len(s.Pending) == 0 || !v.ownTermApplied || now-v.lastEnforce < t.Heartbeat && v.lastEnforce > 0 {
+		return
+	}
+	if now < v.electedAt+t.Guard() && !v.c.set.NoWait {
+		return // a leader before this one may have granted leases that this one knows nothing of
+	}
+	upTo := v.heldByAll()
+	if v.c.set.NoPrepared {
+		upTo = s.Last()
+	}
+	if upTo > s.InForce.Number && v.appendCommand(&command{Enforce: upTo}) {
+		v.lastEnforce, v.enforcing = now, max(v.enforcing, upTo)
+	}
+}
+
+// heldByAll is the newest version that all with a lease have said they have; 0 where some have none that is not in force.
+func (v *voter) heldByAll() uint64 {
+	s := &v.state.Rules.Standing
+	if v.blocks(v.slowest) {
+		return 0 // each of many acknowledgements asks, and the one that is waited for has not come
+	}
+	upTo := s.Last()
+	for _, l := range v.leases {
+		if v.blocks(l) {
+			v.slowest = l
+			return 0
+		}
+		if l.until >= v.c.now {
+			upTo = min(upTo, l.holds.Last)
+		}
+	}
+	return upTo
+}
+
+// blocks says whether a holder, which may be nil, stands against every version that is on its way.
+func (v *voter) blocks(l *lease) bool {
+	s := &v.state.Rules.Standing
+	return l != nil && l.until >= v.c.now && (l.holds.Log != s.Log || l.holds.Last <= s.InForce.Number)
+}
+
+// notifyHolders brings the newest standing to all that hold a lease.
+func (v *voter) notifyHolders() {
+	current := holdsOf(&v.state.Rules.Standing)
+	for _, h := range slices.SortedFunc(maps.Keys(v.leases), compareHolders) {
+		l := v.leases[h]
+		if l.until < v.c.now || l.holds == current {
+			continue
+		}
+		if m := (&Message{Kind: Tell, From: v.c.set.Name, To: h.name}); v.bring(m, l, l.holds) {
+			v.c.send(h.name, m)
+		}
+	}
+}
--- a/internal/cluster/accord/types.go
+++ b/internal/cluster/accord/types.go
@@ -2,9 +2,9 @@
 // has. It has no I/O and no clock: events with their time go in, actions come out, and equal settings, seed and events give
 // equal actions. It is not safe for concurrent use, but for Basis, which does not change.
 //
-// A few proxies, the keepers, hold the rules in a log that a majority of them agrees on (Raft, Ongaro and Ousterhout 2014; the
+// A few proxies, the voters, hold the rules in a log that a majority of them agrees on (Raft, Ongaro and Ousterhout 2014; the
 // library go.etcd.io/raft/v3, whose core is as pure as this one). Every proxy holds a lease (Gray and Cheriton 1989) from the
-// keepers' leader, which names the versions that it was granted with. A change takes two steps: it is on its way, when every proxy
+// voters' leader, which names the versions that it was granted with. A change takes two steps: it is on its way, when every proxy
 // acts on the meet of old and new, and it is in force, once each proxy with a lease has said that it has the change, or its
 // lease has run out. docs/design/accord.md says why, and what follows for clocks.
 package accord
@@ -47,7 +47,7 @@
 // Awake is how long after a renewal that went unanswered a proxy knows that it has been running.
 func (t Times) Awake() time.Duration { return 4 * t.Renew }
 
-// Bound is the stated time: once a change is agreed, no proxy that hears the keepers or holds a lease acts against it after so
+// Bound is the stated time: once a change is agreed, no proxy that hears the voters or holds a lease acts against it after so
 // long, with the leader lost meanwhile.
 func (t Times) Bound() time.Duration {
 	// A leader is lost at once after the change was agreed; the next is elected within two tries' time, waits for the leases
@@ -77,7 +77,7 @@
 	Boot    uint64   // drawn at each start: two processes of one proxy hold a lease each
 	Keepers []string // by name, the same at all; the first founds
 	Times   Times
-	// Later: where this proxy is a keeper, Keep is called once its disk can be had.
+	// Later: where this proxy is a voter, Keep is called once its disk can be had.
 	Later bool
 	// Refuse: without a lease nothing is served. Otherwise it goes on with what is known, and repeats nothing.
 	Refuse bool
@@ -90,6 +90,13 @@
 	NoPrepared   bool // a change is in force at once
 	NoWait       bool // a new leader does not wait for the leases of the one before
 	NoConfirm    bool // leases are granted without hearing from a majority
+	NoDigest     bool // what a proxy has is not compared with what is vouched for, but by its number
+	NoEnforcing  bool // a lease may rest on what a proxy has though the leader has written into the log that more is in force
+
+	// NoDeltas: whole standings alone are sent and taken, as by programs from before there were differences.
+	NoDeltas bool
+	// MostShort is the bytes of a difference that goes with a grant; 0 stands for what fits a datagram.
+	MostShort int
 }
 
 // form is that of documents which this program understands.
@@ -129,8 +136,8 @@
 	Have                           // says what the sender acts on
 	Propose                        // asks the leader for a change
 	Result                         // says what became of it
-	Raft                           // is a message between keepers' logs
-	Hello                          // says who a keeper is
+	Raft                           // is a message between voters' logs
+	Hello                          // says who a voter is
 	lastMessage
 )
 
@@ -161,6 +168,13 @@
 	Boot     uint64          `cbor:"15,keyasint,omitempty"` // of who asks
 	Reign    uint64          `cbor:"16,keyasint,omitempty"` // of a Hello: that of the sender's log
 	Form     uint8           `cbor:"17,keyasint,omitempty"` // of a Renew or Hello: which form of documents the sender understands; 0 stands for 1
+
+	// Delta stands in a Grant or Tell in place of Standing, for those who have said that they understand it.
+	Delta  *rules.Delta `cbor:"18,keyasint,omitempty"`
+	Deltas bool         `cbor:"19,keyasint,omitempty"` // of a Renew or Have: the sender understands differences and digests
+	Whole  bool         `cbor:"20,keyasint,omitempty"` // of a Renew: the sender has found that it has something else than others, and needs the whole
+	// Digest is of a Renew that of what the sender has, and of a Grant that of what is vouched for; 0 for none.
+	Digest rules.Digest `cbor:"21,keyasint,omitempty"`
 }
 
 // mostHops bounds how often a message is passed on.
@@ -184,8 +198,14 @@
 			return fmt.Errorf("accord: %w", err)
 		}
 	}
+	if m.Delta != nil {
+		if err := m.Delta.Sound(); err != nil {
+			return fmt.Errorf("accord: %w", err)
+		}
+	}
 	switch {
-	case m.Kind == Propose && m.Change == nil, m.Kind == Result && m.Answer == nil, m.Kind == Tell && m.Standing == nil, m.Kind == Raft && len(m.Raft) == 0:
+	case m.Kind == Propose && m.Change == nil, m.Kind == Result && m.Answer == nil, m.Kind == Tell && m.Standing == nil && m.Delta == nil,
+		m.Kind == Raft && len(m.Raft) == 0:
 		return fmt.Errorf("accord: a message of kind %d with nothing in it", m.Kind)
 	}
 	if m.Change != nil {
@@ -216,26 +236,29 @@
 	if err := reading.Unmarshal(b, m); err != nil {
 		return nil, fmt.Errorf("accord: %w", err)
 	}
+	if m.Standing != nil {
+		m.Standing.Compact()
+	}
 	return m, m.Sound()
 }
 
-// Record is what a keeper has to have on disk before anything that rests on it is said. A nil or empty part stays as it is.
+// Record is what a voter has to have on disk before anything that rests on it is said. A nil or empty part stays as it is.
 type Record struct {
 	Store    uint64 // the id of the log; a record with another one begins a log anew
 	Hard     *raftpb.HardState
 	Entries  []*raftpb.Entry // replace all from the first one's index on
 	Snapshot *raftpb.Snapshot
-	Install  bool   // the snapshot comes from another keeper, in place of all entries
+	Install  bool   // the snapshot comes from another voter, in place of all entries
 	Compact  uint64 // entries up to this index are no longer needed; 0 for none
 }
 
-// Stored is what a disk holds of a keeper. The zero value is that of an empty one.
+// Stored is what a disk holds of a voter. The zero value is that of an empty one.
 type Stored struct {
 	Store    uint64
 	Hard     *raftpb.HardState
 	Entries  []*raftpb.Entry
 	Snapshot *raftpb.Snapshot
-	Acts     *rules.Standing // what the proxy last acted on; also at one that is no keeper
+	Acts     *rules.Standing // what the proxy last acted on; also at one that is no voter
 }
 
 // Take makes a record part of what is stored, as a disk does.
@@ -286,8 +309,8 @@
 
 // The modes.
 const (
-	Leased Mode = iota // on rules that the keepers vouch for
-	Alone              // on what it knows, carefully: no keeper has been heard for as long as a lease lasts
+	Leased Mode = iota // on rules that the voters vouch for
+	Alone              // on what it knows, carefully: no voter has been heard for as long as a lease lasts
 	Away               // on nothing: it was paused, has just started, or is to refuse
 )
 
--- a/internal/cluster/rules/rules_test.go
+++ b/internal/cluster/rules/rules_test.go
@@ -52,6 +52,27 @@
 	})
 }
 
+// TestMeetOfAStanding: it is the meet of each document in it, one after another.
+func TestMeetOfAStanding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := drawHistory(t)
+		one := s.InForce.Doc
+		want := &one
+		for i := range s.Pending {
+			want = Meet(want, &s.Pending[i].Doc)
+		}
+		got := s.Meet()
+		if d := Diff(want, got); len(d) > 0 || got.Share() != want.Share() {
+			t.Fatalf("%q", d)
+		}
+		for _, v := range s.versions() {
+			if found := Breaches(got, &v.Doc); len(found) > 0 {
+				t.Fatalf("against version %d: %q", v.Number, found)
+			}
+		}
+	})
+}
+
 // TestDocumentsSurviveTheWire: what is written is read back as it was; two parts with one key would not be.
 func TestDocumentsSurviveTheWire(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -148,6 +169,27 @@
 	}
 }
 
+// BenchmarkEnforce brings a ban into force, with documents for 1,400 proxies in the history.
+func BenchmarkEnforce(b *testing.B) {
+	s := NewState()
+	numbers := map[string]int{}
+	for i := range 1400 {
+		numbers[fmt.Sprintf("proxy-%04d", i)] = i
+	}
+	s.Propose(&Change{ID: "numbers", Kind: Number, Numbers: numbers, Form: 2})
+	s.Enforce(s.Last())
+	for i := range mostHistory {
+		s.Propose(&Change{ID: fmt.Sprint(i), Kind: Suspend, Server: fmt.Sprint("node-", i)})
+		s.Enforce(s.Last())
+	}
+	s.Propose(&Change{ID: "last", Kind: Suspend, Server: "last"})
+	for b.Loop() {
+		if !s.Clone().Enforce(s.Last()) {
+			b.Fatal("not in force")
+		}
+	}
+}
+
 // TestBoundsOfWhatIsKept: long reasons fill neither a document nor the history over what a message holds.
 func TestBoundsOfWhatIsKept(t *testing.T) {
 	s := NewState()
