--- a/internal/cluster/accord/store/store.go
+++ b/internal/cluster/accord/store/store.go
@@ -15,6 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	"go.etcd.io/raft/v3/raftpb"
@@ -68,7 +69,7 @@
 	path := filepath.Join(folder, file)
 	own := owner{form, fleet, name}
 	db, why := open(path, own)
-	if errors.Is(why, bbolt.ErrTimeout) || errors.Is(why, os.ErrPermission) {
+	if errors.Is(why, bolterrors.ErrTimeout) || errors.Is(why, os.ErrPermission) {
 		return nil, "", nil, fmt.Errorf("store: %s: %w", path, why)
 	}
 	if why != nil {
--- a/internal/cluster/accord/store/store_test.go
+++ b/internal/cluster/accord/store/store_test.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"testing"
 
-	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	"go.etcd.io/raft/v3/raftpb"
@@ -160,7 +160,7 @@
 	if err != nil || len(got.Entries) != 50 || got.Acts == nil || got.Acts.InForce.Number != 3 {
 		t.Errorf("after all that: %v, %d entries, %+v", err, len(got.Entries), got.Acts)
 	}
-	if _, _, _, err := Open(folder, "shelf", "n1"); !errors.Is(err, bbolt.ErrTimeout) {
+	if _, _, _, err := Open(folder, "shelf", "n1"); !errors.Is(err, bolterrors.ErrTimeout) {
 		t.Errorf("a second process on the folder: %v", err)
 	}
 }
--- a/internal/cluster/agreement/node.go
+++ b/internal/cluster/agreement/node.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"golang.org/x/sys/unix"
 
 	"brasswell/internal/cluster"
@@ -141,7 +141,7 @@
 	for range 2 {
 		disk, aside, why, err := store.Open(c.Options.Folder, c.Fleet, c.Name)
 		switch {
-		case errors.Is(err, bbolt.ErrTimeout):
+		case errors.Is(err, bolterrors.ErrTimeout):
 			return stored, true, nil
 		case err != nil:
 			c.Log.Error(LogSelf, "what", "the folder cannot be used; this proxy keeps nothing", "error", err)
