--- a/internal/rig/scale/config.go
+++ b/internal/rig/scale/config.go
@@ -19,10 +19,15 @@
 	Rest    Event = "rest"    // nothing
 	Change  Event = "change"  // changes of the rules: one alone, one a second, many at once
 	Machine Event = "machine" // some members die, one after another
+	Rack    Event = "rack"    // some members of one zone die at once
+	Zone    Event = "zone"    // all of one zone die at once, and return later; hollow ones know nothing then
+	Region  Event = "region"  // one region is cut off from the others, and healed later
+	Restart Event = "restart" // many members restart, one after another
+	Start   Event = "start"   // all start at once
 )
 
 // Events are all events, in the order in which they are shown.
-func Events() []Event { return []Event{Rest, Change, Machine} }
+func Events() []Event { return []Event{Rest, Change, Machine, Rack, Zone, Region, Restart, Start} }
 
 const (
 	// Voters of every run, each in a process of its own.
@@ -34,6 +39,8 @@
 	// shortRTT is the longest round trip that a lease of shortLease fits; above, longLease is the default.
 	shortRTT              = 20 * time.Millisecond
 	shortLease, longLease = time.Second, 3 * time.Second
+	// leastZones of the zone event leave most voters in the others.
+	leastZones = 3
 	// longestLength bounds the measured part.
 	longestLength = time.Hour
 )
@@ -100,6 +107,10 @@
 		return fmt.Errorf("--rtt %v: 0 to 1s is allowed", c.RTT)
 	case !slices.Contains(Events(), c.Event):
 		return fmt.Errorf("--event %s: allowed is %s", c.Event, eventNames())
+	case c.Event == Zone && c.Zones < leastZones:
+		return fmt.Errorf("--event zone with --zones %d: at least %d, so that most voters stay", c.Zones, leastZones)
+	case c.Event == Region && c.Regions < 2:
+		return fmt.Errorf("--event region with --regions %d: at least 2, so that one can be cut off", c.Regions)
 	case c.Length < time.Second || c.Length > longestLength:
 		return fmt.Errorf("--length %v: 1s to %v is allowed", c.Length, longestLength)
 	case c.Lease != 0 && (c.Lease < 500*time.Millisecond || c.Lease > time.Minute):
@@ -116,6 +127,9 @@
 	return nil
 }
 
+// cutRegion is the region that the region event cuts off: the last, where the fewest voters are.
+func (c *Config) cutRegion() int { return c.Regions - 1 }
+
 func eventNames() string {
 	var names []string
 	for _, e := range Events() {
--- a/internal/rig/scale/plan.go
+++ b/internal/rig/scale/plan.go
@@ -35,7 +35,7 @@
 		m.address = p.layout.Address(place, taken[place])
 		taken[place]++
 		if !place.Real {
-			m.boot = dice.Uint64() | 1
+			m.boot = drawBoot(dice)
 		}
 		p.members = append(p.members, m)
 	}
@@ -114,3 +114,6 @@
 func (m *memberPlan) spec(folder string) hollow.Spec {
 	return hollow.Spec{Name: m.name, Address: m.address.String(), Zone: m.place.Zone, Boot: m.boot, Folder: folder}
 }
+
+// drawBoot draws the boot of one start of a member; 0 stands for none.
+func drawBoot(dice *rand.Rand) uint64 { return dice.Uint64() | 1 }
--- a/internal/rig/scale/result/result.go
+++ b/internal/rig/scale/result/result.go
@@ -109,7 +109,9 @@
 type Views struct {
 	FalseDeaths int      `json:"false_deaths"` // a living member that can be reached was held dead, by how many in all
 	RightS      *float64 `json:"right_s"`      // from the event until all views are right; nil if never
-	Wrong       int      `json:"wrong"`        // members whose view is wrong at the end
+	// DeadRightS is the same from the deaths, in runs in which the dead return; RightS is then from their return.
+	DeadRightS *float64 `json:"dead_right_s,omitempty"`
+	Wrong      int      `json:"wrong"` // members whose view is wrong at the end
 }
 
 // Leases is how many members held one.
--- a/internal/rig/scale/result/text.go
+++ b/internal/rig/scale/result/text.go
@@ -23,6 +23,9 @@
 	r.writeRoles(&b)
 	r.writeChanges(&b)
 	fmt.Fprintf(&b, "\nviews: right after %s, %d wrong at the end, %d false deaths\n", inSeconds(r.Views.RightS), r.Views.Wrong, r.Views.FalseDeaths)
+	if r.Views.DeadRightS != nil {
+		fmt.Fprintf(&b, "       right about the dead after %s, before they returned\n", inSeconds(r.Views.DeadRightS))
+	}
 	l := &r.Leases
 	fmt.Fprintf(&b, "leases: %d of %d held at the end, all %s after the start, at least %.1f%%, %d lost, %d elections\n",
 		l.Held, l.Members, inSeconds(l.AllAfterS), 100*l.LeastShare, l.LostAwake, l.Elections)
