Followers of the view are told of changes together

With a thousand members that start at once the view changes with every message, and a copy of the whole view for each kept a machine busy with nothing else. They are now told for a fiftieth of the time at most, and each 250 ms at least while it changes. The first change after some rest is told at once, as before.

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -40,6 +40,9 @@
 	bindEvery = 20 * time.Millisecond
 	// leaveTime bounds what a leaving process waits for its owner.
 	leaveTime = 500 * time.Millisecond
+	// Followers are told how the view stands at most so often that it takes about one part in tellShare of the time, since in a fleet of
+	// a thousand that starts the view changes with every message; and at least every mostTellWait while it changes.
+	tellShare, mostTellWait = 50, 250 * time.Millisecond
 )
 
 // Config is what a node is told.
@@ -70,7 +73,8 @@
 	link      atomic.Pointer[link.Link] // nil until the address is ours
 	lost      atomic.Int64              // datagrams that found the owner's line full
 	exchanges chan struct{}
-	stirred   bool                                         // the view has changed since followers were told
+	stirred   bool                                         // the view has changed since followers were told; the owner's
+	tell      time.Duration                                // when they may be told next; the owner's
 	followers []func(view.Standing)                        // the owner's
 	parcels   [partKinds]atomic.Pointer[func(body []byte)] // by kind
 
@@ -150,7 +154,11 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		timer.Reset(n.view.Next() - n.now())
+		next := n.view.Next()
+		if n.stirred {
+			next = min(next, n.tell)
+		}
+		timer.Reset(next - n.now())
 		select {
 		case <-n.ctx.Done():
 			return
@@ -159,21 +167,31 @@
 		case e := <-n.asks:
 			e(n.view, n.now())
 		case <-timer.C:
-			n.view.Wake(n.now())
+			if now := n.now(); now >= n.view.Next() {
+				n.view.Wake(now)
+			}
 		}
-		if n.stirred {
+		if n.stirred && n.now() >= n.tell {
 			n.stirred = false
-			if n.folder.used() {
-				n.folder.keep(n.view.Table())
-			}
-			if len(n.followers) > 0 {
-				standing := n.view.Standing(n.now())
-				for _, f := range n.followers {
-					f(standing)
-				}
-			}
+			n.tellFollowers()
+		}
+	}
+}
+
+// tellFollowers tells the folder and all followers how the view stands. The owner calls it.
+func (n *Node) tellFollowers() {
+	began := n.now()
+	if n.folder.used() {
+		n.folder.keep(n.view.Table())
+	}
+	if len(n.followers) > 0 {
+		standing := n.view.Standing(began)
+		for _, f := range n.followers {
+			f(standing)
 		}
 	}
+	took := n.now() - began
+	n.tell = began + min(tellShare*took, mostTellWait)
 }
 
 // ask has the owner do something and waits until it is done; false if the node is closed.
@@ -314,7 +332,8 @@
 // OnParcel has take called with each parcel of this kind that comes, from several goroutines; it must not block for long.
 func (p Part) OnParcel(take func(body []byte)) { p.parcels[p.kind].Store(&take) }
 
-// Follow tells f how the view stands, now and after every change, in order and from one goroutine. f must not block.
+// Follow tells f how the view stands, now and after every change, in order and from one goroutine. Changes that come close together
+// are told as one. f must not block.
 func (n *Node) Follow(f func(view.Standing)) {
 	n.ask(n.ctx, func(v *view.View, now time.Duration) {
 		n.followers = append(n.followers, f)
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -198,3 +198,32 @@
 		t.Error("a member with no name")
 	}
 }
+
+// TestFollowersAreToldTogether: changes that come close together are told as few, and how the view stands at their end is told.
+func TestFollowersAreToldTogether(t *testing.T) {
+	const changes, work = 90, 5 * time.Millisecond
+	n := join(t, "a", 1, Options{Listen: place(t), Seeds: []string{"127.0.0.1:9"}})
+	told := make(chan int, changes+2)
+	n.Follow(func(s view.Standing) {
+		time.Sleep(work) // as much as it takes in a large fleet
+		select {
+		case told <- len(s.Members):
+		default: // the test has ended
+		}
+	})
+	for i := range changes {
+		r := view.Record{Name: fmt.Sprintf("m%d", i), Boot: 1, Incarnation: 1, State: view.Alive, Address: "127.0.0.1:9"}
+		n.ask(t.Context(), func(v *view.View, now time.Duration) { v.Merge(now, []view.Record{r}, "m0") })
+	}
+	times := 0
+	for members := 0; members < changes+1; times++ {
+		select {
+		case members = <-told:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("told %d times, the last time of %d members", times, members)
+		}
+	}
+	if times > changes/4 {
+		t.Errorf("%d changes were told in %d times", changes, times)
+	}
+}
