--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -45,6 +45,7 @@
 	}
 	f := c.Flags()
 	f.IntVar(&o.Members, "members", o.Members, "how many members in all, voters and real proxies among them")
+	f.IntVar(&o.Real, "real", o.Real, "how many of them are processes of the whole program under load, all in the first region")
 	f.IntVar(&o.Regions, "regions", o.Regions, "how many regions")
 	f.IntVar(&o.Zones, "zones", o.Zones, "how many zones, over all regions in turn")
 	f.DurationVar(&o.RTT, "rtt", o.RTT, "round trip between regions")
--- a/internal/cluster/link/link.go
+++ b/internal/cluster/link/link.go
@@ -146,6 +146,9 @@
 		case err != nil:
 			continue // that a datagram of ours could not be delivered comes back as an error of the next read
 		}
+		if !l.accepts(from.Addr()) {
+			continue // it is lost on the way
+		}
 		l.counts.received.Add(1)
 		l.counts.receivedBytes.Add(int64(n))
 		if !l.listed(from.Addr()) {
@@ -318,6 +321,10 @@
 			conn.Close()
 			continue
 		}
+		if !l.accepts(from.Addr()) {
+			conn.Close()
+			continue
+		}
 		select {
 		case l.streams <- struct{}{}:
 		default:
--- a/internal/cluster/link/path.go
+++ b/internal/cluster/link/path.go
@@ -14,6 +14,8 @@
 	Datagram(to netip.AddrPort, size int) (after time.Duration, arrives bool)
 	// Stream says how late so many bytes of a stream arrive one way. While the path is cut, open is false.
 	Stream(to netip.AddrPort, size int) (after time.Duration, open bool)
+	// Accepts says whether what comes from an address is taken in. It is for senders without a path of their own.
+	Accepts(from netip.Addr) bool
 }
 
 const (
@@ -49,6 +51,9 @@
 	}
 }
 
+// accepts says whether the path lets in what has come from an address.
+func (l *Link) accepts(from netip.Addr) bool { return l.config.Path == nil || l.config.Path.Accepts(from.Unmap()) }
+
 func (l *Link) write(to netip.AddrPort, text []byte) {
 	if _, err := l.udp.WriteToUDPAddrPort(text, to); err != nil {
 		l.counts.unsent.Add(1)
--- a/internal/cluster/link/path_test.go
+++ b/internal/cluster/link/path_test.go
@@ -27,6 +27,8 @@
 	return p.after, !p.cut.Load()
 }
 
+func (p *fixedPath) Accepts(netip.Addr) bool { return !p.cut.Load() }
+
 // TestPathDecides: what a link sends is as late as its path says, and does not arrive while that is cut.
 func TestPathDecides(t *testing.T) {
 	const oneWay = 30 * time.Millisecond
@@ -61,3 +63,27 @@
 		t.Errorf("%+v; what is lost on the way was sent", c)
 	}
 }
+
+// TestPathDropsWhatComes: while the path of who receives is cut, nothing is taken in from one whose own path is not.
+func TestPathDropsWhatComes(t *testing.T) {
+	path := &fixedPath{}
+	a, _ := listen(t, "127.0.0.0/8")
+	b, ear := listenOn(t, "127.0.0.0/8", path)
+	ping := func(seq uint64) { a.Send(b.Addr(), &view.Message{Kind: view.Ping, Seq: seq, From: record("a")}) }
+
+	path.cut.Store(true)
+	ping(1)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if _, err := a.Exchange(ctx, b.Addr(), []view.Record{record("a")}); err == nil {
+		t.Error("an exchange passed a path that is cut")
+	}
+	path.cut.Store(false)
+	ping(2)
+	if m := <-ear.came; m.Seq != 2 {
+		t.Errorf("%d came through a path that was cut", m.Seq)
+	}
+	if got := b.Counts().Received; got != 1 {
+		t.Errorf("%d were counted as received, and one was let in", got)
+	}
+}
--- a/internal/rig/hollow/host.go
+++ b/internal/rig/hollow/host.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"brasswell/internal/cluster/rules"
+	"brasswell/internal/rig/procfs"
 )
 
 // Host is the members of one process. Its methods may be called at any time.
@@ -192,7 +194,7 @@
 
 // Sample is how the members stand.
 func (h *Host) Sample() *Sampled {
-	s := &Sampled{Views: map[uint64]int{}, MemoryB: residentMemory()}
+	s := &Sampled{Views: map[uint64]int{}, MemoryB: procfs.ResidentMemory(os.Getpid())}
 	for i, m := range h.all() {
 		m.mu.Lock()
 		m.sample(s, i == 0)
@@ -310,7 +312,7 @@
 func (h *Host) named(name string) (*member, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if m := h.members[name]; m != nil {
+	if m := h.members[name]; m != nil && m.node != nil {
 		return m, nil
 	}
 	return nil, fmt.Errorf("%s: it does not run", name)
@@ -318,9 +320,11 @@
 
 // Usage is what the process and its members have used.
 func (h *Host) Usage() *Usage {
-	u := &Usage{CPU: processorTime(), MemoryB: residentMemory()}
+	u := &Usage{CPU: processorTime(), MemoryB: procfs.ResidentMemory(os.Getpid())}
 	for _, m := range h.all() {
-		u.Members = append(u.Members, m.usage())
+		if m.node != nil {
+			u.Members = append(u.Members, m.usage())
+		}
 	}
 	return u
 }
--- a/internal/rig/hollow/member.go
+++ b/internal/rig/hollow/member.go
@@ -8,7 +8,8 @@
 	"brasswell/internal/cluster/agreement"
 )
 
-// member is one start of a hollow member: the view and the agreement of a proxy, with their sockets.
+// member is one start of a hollow member: the view and the agreement of a proxy, with their sockets. One that is only observed is a
+// process elsewhere, and has neither here.
 type member struct {
 	*watch
 	node  *cluster.Node
@@ -50,6 +51,9 @@
 
 // close ends the member without a word to others, as when its process is killed.
 func (m *member) close() {
+	if m.node == nil {
+		return
+	}
 	m.node.Close(false)
 	m.rules.Close(false)
 }
--- a/internal/rig/hollow/network.go
+++ b/internal/rig/hollow/network.go
@@ -171,3 +171,9 @@
 	defer n.mu.Unlock()
 	return n.faults.Stream(time.Since(n.began), n.path(s.from, at), size)
 }
+
+// Accepts implements link.Path: what real proxies send is not delayed or cut where they send it.
+func (s *sender) Accepts(from netip.Addr) bool {
+	at, ok := s.network.layout.PlaceOf(from)
+	return !ok || !at.Real || s.network.Reaches(at, s.from)
+}
--- a/internal/rig/hollow/serve.go
+++ b/internal/rig/hollow/serve.go
@@ -2,14 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -121,18 +118,3 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
-
-// residentMemory is what this process holds, in bytes.
-func residentMemory() uint64 {
-	text, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
-	}
-	fields := bytes.Fields(text)
-	const resident = 1 // of proc(5), in pages
-	if len(fields) <= resident {
-		return 0
-	}
-	pages, _ := strconv.ParseUint(string(fields[resident]), 10, 64)
-	return pages * uint64(os.Getpagesize())
-}
--- a/internal/rig/hollow/watch.go
+++ b/internal/rig/hollow/watch.go
@@ -38,9 +38,10 @@
 // watch takes down what one start of a member does. It is told by the member's log, whose lines are the same for hollow and real
 // members, and by the agreement.
 type watch struct {
-	host  *Host
-	spec  Spec
-	began int64
+	host *Host
+	spec Spec
+	// observed: the member is a process elsewhere, and what it acts on is read from its log too.
+	observed bool
 
 	mu       sync.Mutex
 	present  uint64 // Digest of the members that it sees
@@ -53,17 +54,21 @@
 
 func newWatch(h *Host, s Spec) *watch {
 	now := time.Now().UnixNano()
-	return &watch{host: h, spec: s, began: now, changed: now, present: Digest(s.Name)}
+	return &watch{host: h, spec: s, changed: now, present: Digest(s.Name)}
 }
 
 // act takes in on what the member acts. It is called in order.
 func (w *watch) act(b *accord.Basis) {
+	w.learn(learned{time.Now().UnixNano(), b.Version, b.Last})
+}
+
+func (w *watch) learn(l learned) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if n := len(w.versions); n > 0 && w.versions[n-1].version == b.Version && w.versions[n-1].last == b.Last {
+	if n := len(w.versions); n > 0 && w.versions[n-1].version == l.version && w.versions[n-1].last == l.last {
 		return
 	}
-	w.versions = append(w.versions, learned{time.Now().UnixNano(), b.Version, b.Last})
+	w.versions = append(w.versions, l)
 }
 
 // knew is when the member first knew a version; 0 for never.
@@ -104,6 +109,8 @@
 		t.member(r)
 	case agreement.LogMode:
 		t.mode(attribute(r, "mode"))
+	case agreement.LogRules:
+		t.rules(r)
 	case agreement.LogSelf:
 		t.self(attribute(r, "what"))
 	}
@@ -145,6 +152,15 @@
 	return state == view.Alive.String() || state == view.Suspect.String()
 }
 
+// rules takes in what the member acts on. Of a hollow member that is known already.
+func (t tap) rules(r slog.Record) {
+	version, err := strconv.ParseUint(attribute(r, "version"), 10, 64)
+	last, lastErr := strconv.ParseUint(attribute(r, "last"), 10, 64)
+	if err == nil && lastErr == nil && t.observed {
+		t.learn(learned{r.Time.UnixNano(), version, last})
+	}
+}
+
 // mode takes in on what the member acts: with a lease or without.
 func (t tap) mode(mode string) {
 	leased := mode == accord.Leased.String()
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -250,3 +250,50 @@
 		}
 	}
 }
+
+// ProcessConfig describes a process of the program that serves, for who runs some without a rig.
+type ProcessConfig struct {
+	Program   Program
+	Name      string
+	Folder    string // of its own
+	Temporary string // where processes of one proxy look for each other
+	Args, Env []string
+	Console   string                  // the address of its console
+	Lines     func(name, line string) // is called with each line of its log
+}
+
+// Process is one that serves. Its methods may be called at any time.
+type Process struct{ process *process }
+
+// NewProcess returns a process that is not started yet.
+func NewProcess(c ProcessConfig) *Process {
+	return &Process{&process{
+		program: c.Program, name: c.Name, folder: c.Folder, temporary: c.Temporary, args: c.Args, env: c.Env, console: c.Console, lines: c.Lines,
+	}}
+}
+
+// Start starts it, and returns once it takes clients.
+func (p *Process) Start(ctx context.Context) error {
+	if err := p.process.start(); err != nil {
+		return err
+	}
+	return p.process.ready(ctx)
+}
+
+// End asks it to end, and kills it where it has not after so long.
+func (p *Process) End(patience time.Duration) error { return p.process.terminate(patience) }
+
+// Get calls its console.
+func (p *Process) Get(ctx context.Context, path string) (code int, text string, err error) {
+	return p.process.get(ctx, path)
+}
+
+// PID is its process id; 0 while it is not there.
+func (p *Process) PID() int {
+	p.process.mu.Lock()
+	defer p.process.mu.Unlock()
+	if p.process.cmd == nil {
+		return 0
+	}
+	return p.process.cmd.Process.Pid
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -30,6 +30,7 @@
 	"brasswell/internal/rig/comeback"
 	"brasswell/internal/rig/faults"
 	"brasswell/internal/rig/history"
+	"brasswell/internal/rig/procfs"
 	"brasswell/internal/rig/ruling"
 	"brasswell/internal/rig/story"
 	"brasswell/internal/standin"
@@ -188,7 +189,7 @@
 		if err := r.platformFile(i, m, filepath.Join(folder, "config.json")); err != nil {
 			return err
 		}
-		text := "[log]\nformat = \"json\"\nper_second = 10000\nburst = 100000\n"
+		text := LogSection
 		if r.config.Story.Changes > 0 {
 			text += "level = \"debug\"\n" // each act, and on what it rested
 		}
@@ -201,16 +202,14 @@
 					asked = append(asked, strings.ReplaceAll(s, "%s", public.String()))
 				}
 			}
-			text += fmt.Sprintf("\n[fleet]\nname = \"rig\"\nlisten = %q\nadvertise = %q\nperiod = %q\nfolder = %q\nseeds = [\"%s\"]\n",
-				real, public, time.Duration(r.config.Story.Period), own, strings.Join(asked, "\", \""))
+			text += FleetSection("rig", real.String(), public.String(), time.Duration(r.config.Story.Period), own, asked)
 		}
 		if r.config.Story.Keepers > 0 {
 			alone := "serve"
 			if r.config.Refuse {
 				alone = "refuse"
 			}
-			text += fmt.Sprintf("\n[rules]\nkeepers = [\"%s\"]\nfolder = %q\nwithout_lease = %q\n",
-				strings.Join(r.config.Story.Names()[:r.config.Story.Keepers], "\", \""), own, alone)
+			text += RulesSection(r.config.Story.Names()[:r.config.Story.Keepers], own, alone)
 		}
 		if r.config.Story.Recover {
 			text += fmt.Sprintf("\n[recovery]\nfolder = %q\nevery = \"1s\"\nyoung = %q\n", own, youngTime)
@@ -407,23 +406,12 @@
 
 // cpu is the processor time that each member's process has used, by its id.
 func (r *Rig) cpu() map[int]time.Duration {
-	const tick = 10 * time.Millisecond // USER_HZ is 100 on Linux
 	used := map[int]time.Duration{}
 	for _, m := range r.members {
 		pid := r.PID(m.name)
-		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-		if err != nil {
-			continue
+		if one, ok := procfs.ProcessorTime(pid); ok {
+			used[pid] = one
 		}
-		_, rest, _ := strings.Cut(string(text), ") ") // the name may hold blanks
-		fields := strings.Fields(rest)
-		const user, system = 11, 12 // of proc(5), counted from the state on
-		if len(fields) <= system {
-			continue
-		}
-		u, _ := strconv.ParseInt(fields[user], 10, 64)
-		s, _ := strconv.ParseInt(fields[system], 10, 64)
-		used[pid] = time.Duration(u+s) * tick
 	}
 	return used
 }
@@ -752,13 +740,8 @@
 
 // PID is the process id of a member; 0 while it is not there.
 func (r *Rig) PID(name string) int {
-	p := r.byName[name].process()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return 0
-	}
-	return p.cmd.Process.Pid
+	p := Process{r.byName[name].process()}
+	return p.PID()
 }
 
 // Boot is the boot by which one member knows another, from the history; 0 if it does not.
--- a/internal/rig/scale/plan.go
+++ b/internal/rig/scale/plan.go
@@ -57,6 +57,9 @@
 	var all []netip.AddrPort
 	for _, m := range p.members {
 		all = append(all, m.address)
+		if m.place.Real {
+			all = append(all, netip.AddrPortFrom(m.address.Addr(), consolePort), netip.AddrPortFrom(m.address.Addr(), proxyPort))
+		}
 	}
 	return all
 }
@@ -91,6 +94,17 @@
 	return all
 }
 
+// realMembers are the processes of the whole program.
+func (p *plan) realMembers() []*memberPlan {
+	var all []*memberPlan
+	for _, m := range p.members {
+		if m.place.Real {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
 // living are the members that live.
 func (p *plan) living() []*memberPlan {
 	var all []*memberPlan
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -32,6 +32,9 @@
 	"brasswell/internal/rig/scale/result"
 )
 
+// fleetName is the name of the run's fleet.
+const fleetName = "scale"
+
 const (
 	// sampleEvery is between two samples of all members.
 	sampleEvery = 250 * time.Millisecond
@@ -49,15 +52,18 @@
 
 // run is a run from its beginning to its end.
 type run struct {
-	config   Config
-	plan     *plan
-	hosts    []*host
-	folder   string
-	memory   uint64 // of the machine
-	ctx      context.Context
-	stop     context.CancelCauseFunc
-	started  time.Time // when the first member was
-	measured time.Time // when the measured part began
+	config Config
+	plan   *plan
+	hosts  []*host
+	// observers is a host without members of its own: it counts the real proxies.
+	observers *hollow.Host
+	service   *service // nil without real proxies
+	folder    string
+	memory    uint64 // of the machine
+	ctx       context.Context
+	stop      context.CancelCauseFunc
+	started   time.Time // when the first member was
+	measured  time.Time // when the measured part began
 
 	mu       sync.Mutex
 	dice     *rand.Rand
@@ -147,8 +153,8 @@
 // openHosts starts the processes, without members.
 func (r *run) openHosts() error {
 	fleet := hollow.Fleet{
-		Name: "scale", Layout: r.plan.layout, Seeds: r.plan.seeds(), Voters: r.plan.voterNames(), Lease: r.config.Lease,
-		Period: r.config.Period, Numbers: r.config.Numbers && r.config.Members <= rules.MostMembers, Seed: r.config.Seed,
+		Name: fleetName, Layout: r.plan.layout, Seeds: r.plan.seeds(), Voters: r.plan.voterNames(), Lease: r.config.Lease,
+		Period: r.config.Period, Numbers: r.numbers(), Seed: r.config.Seed,
 	}
 	for i := range Voters + r.hollowHosts() {
 		name := fmt.Sprintf("host %d", i-Voters+1)
@@ -167,10 +173,18 @@
 	for i, m := range r.plan.hollowMembers() {
 		m.host = r.hosts[Voters+i%r.hollowHosts()]
 	}
-	_, err := r.all(r.ctx, hollow.Request{Configure: &fleet})
-	return err
+	r.observers = hollow.NewHost(fleet)
+	for _, h := range r.hosts {
+		if _, err := h.call(r.ctx, hollow.Request{Configure: &fleet}); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// numbers says whether the leader deals out the members' own numbers, which it does only to so many.
+func (r *run) numbers() bool { return r.config.Numbers && r.config.Members <= rules.MostMembers }
+
 // whole does the run on hosts that are ready.
 func (r *run) whole(interrupt context.Context) (*result.Run, error) {
 	sampling, endSampling := context.WithCancel(context.WithoutCancel(r.ctx))
@@ -258,11 +272,30 @@
 	if err := r.start(ctx, r.plan.members[:Voters], 0); err != nil {
 		return err
 	}
-	return r.start(ctx, r.plan.hollowMembers(), every)
+	var starting sync.WaitGroup
+	var serviceErr error
+	if real := r.plan.realMembers(); len(real) > 0 {
+		starting.Go(func() { serviceErr = r.startService(ctx, real) })
+	}
+	err := r.start(ctx, r.plan.hollowMembers(), every)
+	starting.Wait()
+	return errors.Join(err, serviceErr)
 }
 
-// start starts members, one after another at each host.
-func (r *run) start(ctx context.Context, members []*memberPlan, every time.Duration) error {
+// startService starts the real proxies, with load.
+func (r *run) startService(ctx context.Context, members []*memberPlan) error {
+	if err := r.nowLiving(ctx, members); err != nil {
+		return err
+	}
+	if err := r.openService(ctx, members); err != nil {
+		return err
+	}
+	r.service.load(r.ctx)
+	return nil
+}
+
+// nowLiving notes that members are about to live, here and at all hosts.
+func (r *run) nowLiving(ctx context.Context, members []*memberPlan) error {
 	living := hollow.Living{}
 	r.mu.Lock()
 	for _, m := range members {
@@ -271,7 +304,13 @@
 	}
 	r.expected = r.plan.digest()
 	r.mu.Unlock()
-	if _, err := r.all(ctx, hollow.Request{Living: &living}); err != nil {
+	_, err := r.all(ctx, hollow.Request{Living: &living})
+	return err
+}
+
+// start starts members, one after another at each host.
+func (r *run) start(ctx context.Context, members []*memberPlan, every time.Duration) error {
+	if err := r.nowLiving(ctx, members); err != nil {
 		return err
 	}
 	return r.each(members, func(h *host, members []*memberPlan) error {
@@ -346,8 +385,9 @@
 	for i, h := range r.hosts {
 		asking.Go(func() { replies[i], errs[i] = h.call(ctx, ask) })
 	}
+	own := r.observers.Answer(ctx, ask)
 	asking.Wait()
-	return replies, errors.Join(errs...)
+	return append(replies, own), errors.Join(errs...)
 }
 
 // sample takes down how all members stand until ctx is done, and ends the run where it uses too much.
@@ -518,6 +558,9 @@
 // close ends all processes and removes their folders.
 func (r *run) close() {
 	var ending sync.WaitGroup
+	if r.service != nil {
+		ending.Go(r.service.close)
+	}
 	for _, h := range r.hosts {
 		ending.Go(h.close)
 	}
--- a/internal/rig/scale/usage.go
+++ b/internal/rig/scale/usage.go
@@ -6,6 +6,7 @@
 
 	"brasswell/internal/rig/hollow"
 	"brasswell/internal/rig/scale/result"
+	"brasswell/internal/standin/audit"
 )
 
 // finishTime bounds what is asked after the run's end, also where it was interrupted.
@@ -15,6 +16,8 @@
 type usage struct {
 	at    time.Time
 	hosts []*hollow.Usage // nil of a host that did not answer
+	real  []*hollow.Usage
+	audit audit.Report // of the service
 	lost  int
 	false int
 }
@@ -29,9 +32,12 @@
 	}
 	now, _, _ := r.standing()
 	u := &usage{at: time.Now(), lost: now.Lost, false: now.FalseDeaths}
-	for _, reply := range replies {
+	for _, reply := range replies[:len(r.hosts)] {
 		u.hosts = append(u.hosts, reply.Usage)
 	}
+	if r.service != nil {
+		u.real, u.audit = r.service.usage(ctx), r.service.report(false)
+	}
 	return u
 }
 
@@ -83,6 +89,9 @@
 	if before != nil && after != nil {
 		r.roles(out, before, after)
 	}
+	if before != nil && r.service != nil {
+		out.Service = served(before.audit, r.service.report(true))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out.Trouble = r.troubles
@@ -110,6 +119,15 @@
 		out.Host.Load += (is.CPU - was.CPU).Seconds() / length
 		by[role].add(was, is, length)
 	}
+	for i, is := range after.real {
+		if by[result.Proxy] == nil {
+			by[result.Proxy] = &roleUsage{}
+		}
+		if i < len(before.real) {
+			out.Host.Load += (is.CPU - before.real[i].CPU).Seconds() / length
+			by[result.Proxy].add(before.real[i], is, length)
+		}
+	}
 	for _, role := range []result.Role{result.Member, result.Proxy, result.Leader, result.Voter} {
 		if u := by[role]; u != nil {
 			out.Roles = append(out.Roles, u.result(role))
