--- a/internal/cluster/link/path.go
+++ b/internal/cluster/link/path.go
@@ -52,7 +52,9 @@
 }
 
 // accepts says whether the path lets in what has come from an address.
-func (l *Link) accepts(from netip.Addr) bool { return l.config.Path == nil || l.config.Path.Accepts(from.Unmap()) }
+func (l *Link) accepts(from netip.Addr) bool {
+	return l.config.Path == nil || l.config.Path.Accepts(from.Unmap())
+}
 
 func (l *Link) write(to netip.AddrPort, text []byte) {
 	if _, err := l.udp.WriteToUDPAddrPort(text, to); err != nil {
