--- a/internal/rig/hollow/layout.go
+++ b/internal/rig/hollow/layout.go
@@ -55,6 +55,12 @@
 	return netip.AddrPortFrom(ip, Port)
 }
 
+// ClaimAddress is an address of a zone that no member has: who runs members in that zone listens there, so that nobody else does.
+func (l Layout) ClaimAddress(zone int) netip.AddrPort {
+	const last = 255
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(l.Base + zone), last, last - 1}), Port)
+}
+
 // PlaceOf is the place of an address; ok is false where it is none of the run's.
 func (l Layout) PlaceOf(ip netip.Addr) (p Place, ok bool) {
 	ip = ip.Unmap()
--- a/internal/rig/scale/bounds.go
+++ b/internal/rig/scale/bounds.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"syscall"
+
+	"brasswell/internal/rig/hollow"
 )
 
 const (
@@ -92,5 +94,26 @@
 	return nil
 }
 
+// claim holds an address of each zone that no member has, so that two runs at one time do not take the same ones. The function that
+// it returns lets go of them.
+func claim(l hollow.Layout) (release func(), err error) {
+	var held []net.Listener
+	release = func() {
+		for _, h := range held {
+			h.Close()
+		}
+	}
+	for zone := range l.Zones {
+		at := l.ClaimAddress(zone)
+		one, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
+		if err != nil {
+			release()
+			return nil, fmt.Errorf("scale: %s is taken, by another run it seems: %w; give another --base", at, err)
+		}
+		held = append(held, one)
+	}
+	return release, nil
+}
+
 // drawBase is a second byte of addresses that leaves room for all zones.
 func drawBase(zones int) int { return lowestBase + rand.IntN(highestBase+2-zones-lowestBase) }
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -58,6 +58,7 @@
 	// observers is a host without members of its own: it counts the real proxies.
 	observers *hollow.Host
 	service   *service // nil without real proxies
+	release   func()   // lets go of the addresses
 	folder    string
 	memory    uint64 // of the machine
 	ctx       context.Context
@@ -110,37 +111,49 @@
 	if err := errors.Join(checkMemory(c.Members, r.memory), checkDescriptors(r.perHost())); err != nil {
 		return err
 	}
-	if err := r.place(); err != nil {
-		return err
-	}
 	parent := c.Folder
 	if parent != "" {
 		if err := os.MkdirAll(parent, 0o700); err != nil {
 			return fmt.Errorf("scale: --folder: %w", err)
 		}
 	}
+	if err := r.place(); err != nil {
+		return err
+	}
 	if r.folder, err = os.MkdirTemp(parent, "brasswell-scale-"); err != nil {
+		r.release()
 		return fmt.Errorf("scale: the voters' folders: %w; give another --folder", err)
 	}
 	return nil
 }
 
-// place finds addresses that are free.
+// place finds addresses that are free, and holds them for this run.
 func (r *run) place() (err error) {
-	c := &r.config
-	if c.Base != 0 {
-		r.plan = newPlan(c, c.Base, r.dice)
-		return free(r.plan.addresses())
+	if base := r.config.Base; base != 0 {
+		return r.placeAt(base)
 	}
 	for range baseTries {
-		r.plan = newPlan(c, drawBase(c.Zones), r.dice)
-		if err = free(r.plan.addresses()); err == nil {
+		if err = r.placeAt(drawBase(r.config.Zones)); err == nil {
 			return nil
 		}
 	}
 	return err
 }
 
+func (r *run) placeAt(base int) error {
+	r.plan = newPlan(&r.config, base, r.dice)
+	release, err := claim(r.plan.layout)
+	if err != nil {
+		return err
+	}
+	if err := free(r.plan.addresses()); err != nil {
+		release()
+		return err
+	}
+	r.release = release
+	return nil
+}
+
 // hollowHosts is how many processes the hollow members share.
 func (r *run) hollowHosts() int {
 	most := mostProcesses - Voters - r.config.Real
@@ -565,6 +578,7 @@
 		ending.Go(h.close)
 	}
 	ending.Wait()
+	r.release()
 	os.RemoveAll(r.folder)
 }
 
