--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -100,8 +101,11 @@
 	} else {
 		fmt.Fprint(e.out, run.Text())
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		return answerNo{err}
+	case run.Interrupted:
+		return answerNo{errors.New("interrupted")}
 	}
 	return nil
 }
--- a/internal/rig/scale_test.go
+++ b/internal/rig/scale_test.go
@@ -1,6 +1,16 @@
 package rig_test
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,3 +67,102 @@
 		t.Errorf("roles %+v, settings %+v", run.Roles, run.Settings)
 	}
 }
+
+// children are the processes that a process has started, by their ids.
+func children(t *testing.T, parent int) []int {
+	t.Helper()
+	stats, err := filepath.Glob("/proc/[0-9]*/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found []int
+	for _, path := range stats {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue // it has ended
+		}
+		var state string
+		var of int
+		_, rest, _ := strings.Cut(string(text), ") ")
+		if _, err := fmt.Sscan(rest, &state, &of); err == nil && of == parent {
+			pid, _ := strconv.Atoi(filepath.Base(filepath.Dir(path)))
+			found = append(found, pid)
+		}
+	}
+	return found
+}
+
+// TestScaleInterrupted: a run that is interrupted prints what it had, and leaves no process, folder or file behind.
+func TestScaleInterrupted(t *testing.T) {
+	t.Parallel()
+	folder, out := t.TempDir(), filepath.Join(t.TempDir(), "run.json")
+	cmd := exec.Command(program.Path, "scale", "--members", "12", "--event", "rest", "--length", "10m", "--lease", "3s", "--bans", "2", "--classes", "1",
+		"--numbers=false", "--format", "json", "--folder", folder, "--out", out)
+	var printed bytes.Buffer
+	cmd.Stdout = &printed
+	lines, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	said := bufio.NewScanner(lines)
+	for said.Scan() && !strings.Contains(said.Text(), "measuring") {
+	}
+	hosts := children(t, cmd.Process.Pid)
+	if len(hosts) != scale.Voters+1 {
+		t.Errorf("%d processes", len(hosts))
+	}
+	cmd.Process.Signal(os.Interrupt)
+	for said.Scan() {
+	}
+	var ended *exec.ExitError
+	if err := cmd.Wait(); !errors.As(err, &ended) || ended.ExitCode() != 1 {
+		t.Errorf("ended with %v", err)
+	}
+	run, err := result.Read(&printed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !run.Interrupted || run.Settings.Members != 12 || run.Settings.Bans != 2 || run.Leases.AllAfterS == nil || len(run.Roles) == 0 {
+		t.Errorf("%+v", run)
+	}
+	for _, pid := range hosts {
+		if _, err := os.Stat(fmt.Sprintf("/proc/%d", pid)); err == nil {
+			t.Errorf("process %d is left", pid)
+		}
+	}
+	if left, _ := os.ReadDir(folder); len(left) > 0 {
+		t.Errorf("left %v", left)
+	}
+	file, err := os.Open(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	if same, err := result.Read(file); err != nil || !reflect.DeepEqual(same, run) {
+		t.Errorf("the file holds %+v, %v", same, err)
+	}
+	if left, _ := os.ReadDir(filepath.Dir(out)); len(left) != 1 {
+		t.Errorf("beside the file: %v", left)
+	}
+}
+
+// TestScaleHostEndsWithItsParent: a host ends once nobody asks it any more.
+func TestScaleHostEndsWithItsParent(t *testing.T) {
+	t.Parallel()
+	cmd := exec.Command(program.Path, scale.HostVerb)
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	in.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
