--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -45,6 +46,7 @@
 	}
 	f := c.Flags()
 	f.IntVar(&o.Members, "members", o.Members, "how many members in all, voters and real proxies among them")
+	f.IntVar(&o.Real, "real", o.Real, "how many of them are processes of the whole program under load, all in the first region")
 	f.IntVar(&o.Regions, "regions", o.Regions, "how many regions")
 	f.IntVar(&o.Zones, "zones", o.Zones, "how many zones, over all regions in turn")
 	f.DurationVar(&o.RTT, "rtt", o.RTT, "round trip between regions")
@@ -100,8 +102,11 @@
 	} else {
 		fmt.Fprint(e.out, run.Text())
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		return answerNo{err}
+	case run.Interrupted:
+		return answerNo{errors.New("interrupted")}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/rig/procfs/procfs.go
@@ -0,0 +1,45 @@
+// Package procfs reads what processes of this machine have used, from their clocks and from proc(5).
+package procfs
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ProcessorTime is what all threads of a process have used so far, in user and system mode. It reads the process's own clock, see
+// clock_getcpuclockid(3): /proc counts in ticks of 10 ms, which is what a hundred calls take.
+func ProcessorTime(pid int) (time.Duration, error) {
+	const (
+		idBits    = 3 // of a clock's number, below the process's id
+		schedTime = 2 // the clock of the time that the scheduler has given, CPUCLOCK_SCHED
+	)
+	if pid <= 0 {
+		return 0, errors.New("procfs: processor time of no process") // the clock of 0 is this process's own
+	}
+	var used unix.Timespec
+	if err := unix.ClockGettime(int32(^pid<<idBits|schedTime), &used); err != nil {
+		return 0, fmt.Errorf("procfs: processor time of %d: %w", pid, err)
+	}
+	return time.Duration(used.Nano()), nil
+}
+
+// ResidentMemory is what a process holds in memory, in bytes; 0 where there is none.
+func ResidentMemory(pid int) uint64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := bytes.Fields(text)
+	const resident = 1 // in pages
+	if len(fields) <= resident {
+		return 0
+	}
+	pages, _ := strconv.ParseUint(string(fields[resident]), 10, 64)
+	return pages * uint64(os.Getpagesize())
+}
--- a/internal/rig/scale/plan.go
+++ b/internal/rig/scale/plan.go
@@ -35,7 +35,7 @@
 		m.address = p.layout.Address(place, taken[place])
 		taken[place]++
 		if !place.Real {
-			m.boot = dice.Uint64() | 1
+			m.boot = drawBoot(dice)
 		}
 		p.members = append(p.members, m)
 	}
@@ -57,6 +57,9 @@
 	var all []netip.AddrPort
 	for _, m := range p.members {
 		all = append(all, m.address)
+		if m.place.Real {
+			all = append(all, netip.AddrPortFrom(m.address.Addr(), consolePort), netip.AddrPortFrom(m.address.Addr(), proxyPort))
+		}
 	}
 	return all
 }
@@ -91,6 +94,17 @@
 	return all
 }
 
+// realMembers are the processes of the whole program.
+func (p *plan) realMembers() []*memberPlan {
+	var all []*memberPlan
+	for _, m := range p.members {
+		if m.place.Real {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
 // living are the members that live.
 func (p *plan) living() []*memberPlan {
 	var all []*memberPlan
@@ -114,3 +128,6 @@
 func (m *memberPlan) spec(folder string) hollow.Spec {
 	return hollow.Spec{Name: m.name, Address: m.address.String(), Zone: m.place.Zone, Boot: m.boot, Folder: folder}
 }
+
+// drawBoot draws the boot of one start of a member; 0 stands for none.
+func drawBoot(dice *rand.Rand) uint64 { return dice.Uint64() | 1 }
