A leader looks at the proxies' numbers four times a second, and not with each event

Cause: agreement.Node.number ran numbering.Plan behind each event of the owner; a look at 1,400 proxies takes 0.68 ms (BenchmarkPlan), so the cost grows with the square of their number, and over a core at 1,400. Change: at most one look in 250 ms. Numbers wait for 10 s of quiet, so nothing that waits for them comes noticeably later.

--- a/internal/cluster/agreement/node.go
+++ b/internal/cluster/agreement/node.go
@@ -41,6 +41,9 @@
 	openEvery = 100 * time.Millisecond
 	// lookEvery is between two looks at on what this proxy acts, beside those after each event.
 	lookEvery = 50 * time.Millisecond
+	// planEvery is between two looks of a leader at the proxies' numbers. A look goes over all proxies, and with each event, of which a
+	// leader has several a second from each proxy, its cost would grow with the square of their number.
+	planEvery = 250 * time.Millisecond
 )
 
 // Config is what a node is told.
@@ -74,6 +77,7 @@
 	told      bool
 	unkept    bool                     // that it cannot be stored has been told
 	planner   *numbering.Planner       // the owner's; nil where numbers do not follow who lives
+	nextPlan  time.Duration            // the owner's; when it next looks at the numbers
 	held      atomic.Pointer[[]string] // backends that this process goes on with though the newest list leaves them out
 
 	mu        sync.Mutex
@@ -224,9 +228,10 @@
 func (n *Node) number() {
 	now := Clock()
 	b := n.basis.Load()
-	if n.planner == nil || !n.core.Leads() || b.Settled == nil || b.Mode(now) != accord.Leased {
+	if n.planner == nil || now < n.nextPlan || !n.core.Leads() || b.Settled == nil || b.Mode(now) != accord.Leased {
 		return
 	}
+	n.nextPlan = now + planEvery
 	numbers, due := n.planner.Plan(now, b.Settled.Numbers)
 	if !due {
 		return
--- a/internal/cluster/numbering/numbering_test.go
+++ b/internal/cluster/numbering/numbering_test.go
@@ -196,3 +196,20 @@
 		})
 	}
 }
+
+// BenchmarkPlan is one look of a leader at the numbers of 1,400 proxies, none of which has come or gone.
+func BenchmarkPlan(b *testing.B) {
+	const proxies = 1400
+	var living []string
+	for i := range proxies {
+		living = append(living, fmt.Sprintf("proxy-%04d", i))
+	}
+	p := New(DefaultSettings())
+	p.See(0, living)
+	held := Assign(living, nil)
+	for b.Loop() {
+		if _, due := p.Plan(time.Minute, held); due {
+			b.Fatal("numbers that are right are planned anew")
+		}
+	}
+}
