--- a/internal/cluster/view/view.go
+++ b/internal/cluster/view/view.go
@@ -935,11 +935,11 @@
 		d := *v.duplicate
 		s.Duplicate = &d
 	}
+	s.Members = make([]Member, 0, len(v.members)+1)
 	if !v.displaced {
 		s.Members = append(s.Members, Member{Record: v.self, Since: v.started, Self: true})
 	}
-	for _, name := range sortedKeys(v.members) {
-		m := v.members[name]
+	for _, m := range v.members {
 		s.Members = append(s.Members, Member{Record: m.Record, Since: m.since})
 	}
 	slices.SortFunc(s.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
