--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -118,8 +118,7 @@
 	address  string
 	options  Options
 	movedAt  time.Time
-	moves    int // so far
-	line     line
+	moves    int                     // so far
 	hangUp   context.CancelCauseFunc // of the calls that are out
 }
 
@@ -135,7 +134,7 @@
 // New returns a client that makes no call yet. update is called with each list, from one goroutine at a time; it
 // takes the addresses to dial beside the entries.
 func New(address string, zones []string, o Options, log *slog.Logger, update func(balance.ListKind, []balance.Entry, map[string]string)) *Client {
-	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}, line: newLine()}
+	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}}
 	d.seq.Store(-1)
 	for n, zone := range zones {
 		d.zones[zone] = n
@@ -158,7 +157,6 @@
 	d.address, d.movedAt = address, time.Now()
 	d.moves++
 	d.hangUp(errMoved)
-	d.line.move()
 	d.mu.Unlock()
 	d.client.CloseIdleConnections()
 }
@@ -179,18 +177,14 @@
 		return
 	}
 	for again := false; ; {
-		moves, waited, err := d.ask(ctx)
+		moves, err := d.ask(ctx)
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
 			again = false
-			d.rest(ctx, waited)
 			continue
 		case errors.Is(err, errMoved):
 			continue
-		case errors.Is(err, errTurnedAway) && d.starved():
-			sleep(ctx, rand.N(starvedPause))
-			continue
 		case d.settling():
 			sleep(ctx, movePause)
 			continue
@@ -213,28 +207,6 @@
 	}
 }
 
-// rest waits after an answer where discovery is crowded, or until it moves.
-func (d *Client) rest(ctx context.Context, waited time.Duration) {
-	d.mu.Lock()
-	pause, moved := d.line.answered(waited), d.line.moved
-	d.mu.Unlock()
-	if pause == 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-moved:
-	case <-time.After(pause):
-	}
-}
-
-// starved notes that a call was turned away, and says whether that has gone on for so long that another is to follow soon.
-func (d *Client) starved() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.line.turnedAway(time.Now())
-}
-
 // begin says whether this watch is the only one.
 func (d *Client) begin() bool {
 	d.mu.Lock()
@@ -278,7 +250,6 @@
 	url         string // of the list
 	from        int64  // the version held; below 0 for none
 	hold, slack time.Duration
-	crowded     bool // no call is to hold
 }
 
 // round begins the next one; ctx ends with a move.
@@ -293,42 +264,33 @@
 	if settling {
 		r.hold = moveHold
 	}
-	r.crowded = d.line.ask(time.Now())
 	ctx, d.hangUp = context.WithCancelCause(ctx)
 	return r, ctx
 }
 
-// target is the call that the round makes after so many others: for how long it may hold, by when another is made beside it, and when
-// it is given up. Only the first one waits for news, and none where discovery is crowded: the others are made because nothing is known
-// of what the first should have told.
-func (r *round) target(earlier int) (url string, hold, overdue, wait time.Duration) {
-	if r.from < 0 {
-		return r.url, 0, callWait, callWait + overlap // answered at once with the whole list, once it is its turn
-	}
+// target is the call that the round makes after so many others, by when another is made beside it, and when it is given
+// up. Only the first one waits for news: the others are made because nothing is known of what it should have told.
+func (r *round) target(earlier int) (url string, overdue, wait time.Duration) {
 	switch {
-	case earlier > 0:
-		overdue, wait = overlap, callWait
-	case r.crowded:
-		overdue, wait = crowdedOverdue, callWait
-	default:
-		hold, overdue, wait = r.hold, r.hold+r.slack, r.hold+callWait
+	case r.from < 0:
+		return r.url, callWait, callWait + overlap // answered at once with the whole list, once it is its turn
+	case earlier == 0:
+		return fmt.Sprintf("%s?from=%d&hold_ms=%d", r.url, r.from, r.hold.Milliseconds()), r.hold + r.slack, r.hold + callWait
 	}
-	return fmt.Sprintf("%s?from=%d&hold_ms=%d", r.url, r.from, hold.Milliseconds()), hold, overdue, wait
+	return fmt.Sprintf("%s?from=%d&hold_ms=0", r.url, r.from), overlap, callWait
 }
 
 // answer is how one call ended.
 type answer struct {
-	list   *Catalog
-	waited time.Duration // beyond the time that it was asked to hold
-	err    error
+	list *Catalog
+	err  error
 }
 
-// ask has one question answered, and takes the answer in; it says how often discovery had moved before, and how long the call that was
-// answered has waited for its turn. A call that is
+// ask has one question answered, and takes the answer in; it says how often discovery had moved before. A call that is
 // overdue stays out while another is made on a new connection: the old one may lead to a machine that was cut off
 // meanwhile. The first answer counts and ends the others; it has failed once none is out any more. Each call that is given up is a
 // failure for the balancer, too, so that people are told of a discovery that stays silent.
-func (d *Client) ask(ctx context.Context) (moves int, waited time.Duration, err error) {
+func (d *Client) ask(ctx context.Context) (moves int, err error) {
 	r, ctx := d.round(ctx)
 	defer d.hangUpNow()
 	var (
@@ -345,7 +307,7 @@
 	defer calls.Wait()
 	defer cancel()
 	call := func() {
-		url, hold, overdue, wait := r.target(made)
+		url, overdue, wait := r.target(made)
 		if made == 1 {
 			d.log.Info("a call for the server list is overdue; another is made beside it")
 		}
@@ -362,10 +324,9 @@
 		pending++
 		calls.Go(func() {
 			defer give()
-			begun := time.Now()
 			list, err := d.call(timed, url)
 			select {
-			case answers <- answer{list, time.Since(begun) - hold, err}:
+			case answers <- answer{list, err}:
 			case <-calling.Done():
 			}
 		})
@@ -374,7 +335,7 @@
 	for call(); ; {
 		select {
 		case <-ctx.Done():
-			return r.moves, 0, context.Cause(ctx)
+			return r.moves, context.Cause(ctx)
 		case <-late.C:
 			call()
 		case a := <-answers:
@@ -384,11 +345,11 @@
 				cancel()
 				calls.Wait()
 				d.Take(a.list, a.list.kind())
-				return r.moves, a.waited, nil
+				return r.moves, nil
 			case context.Cause(ctx) == errMoved:
-				return r.moves, 0, errMoved
+				return r.moves, errMoved
 			case pending == 0:
-				return r.moves, 0, a.err
+				return r.moves, a.err
 			}
 		}
 	}
