--- a/internal/rig/hollow/host_test.go
+++ b/internal/rig/hollow/host_test.go
@@ -169,10 +169,10 @@
 	}
 }
 
-// freeBase is a base whose first addresses nobody listens at.
+// freeBase is a base whose first addresses nobody listens at, beyond those that runs take.
 func freeBase(t *testing.T) int {
 	t.Helper()
-	for base := 64; base < 250; base++ {
+	for base := 251; base < 255; base++ {
 		l := Layout{Base: base, Zones: 1, Regions: 1}
 		if canListen(l.ClaimAddress(0)) && canListen(l.Address(Place{}, 0)) {
 			return base
--- a/internal/rig/scale/scale_test.go
+++ b/internal/rig/scale/scale_test.go
@@ -94,18 +94,18 @@
 func TestTakenAddress(t *testing.T) {
 	config := DefaultConfig()
 	config.Folder = t.TempDir()
-	taken := netip.AddrPort{}
-	for config.Base = lowestBase; ; config.Base++ { // one that no other test has
-		taken = newPlan(&config, config.Base, rand.New(rand.NewPCG(1, 1))).members[config.Members-1].address
-		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(taken))
-		if err == nil {
-			defer l.Close()
-			break
-		}
-		if config.Base == highestBase+1-config.Zones {
-			t.Fatal(err)
-		}
+	first := &run{config: config, dice: rand.New(rand.NewPCG(1, 1))}
+	if err := first.place(); err != nil { // addresses that no other run of this machine has
+		t.Fatal(err)
+	}
+	first.release()
+	config.Base = first.plan.layout.Base
+	taken := first.plan.members[config.Members-1].address
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(taken))
+	if err != nil {
+		t.Fatal(err)
 	}
+	defer l.Close()
 	if _, err := Run(t.Context(), config); err == nil || !strings.Contains(err.Error(), taken.String()+" is taken") || !strings.Contains(err.Error(), "--base") {
 		t.Errorf("%v; %v is taken", err, taken)
 	}
@@ -128,7 +128,7 @@
 		t.Errorf("%v", err)
 	}
 	first.release()
-	if err := second.placeAt(overlapping); err != nil {
+	if err := second.placeAt(first.plan.layout.Base); err != nil {
 		t.Error(err)
 	} else {
 		second.release()
