After a move, a call that waits in discovery's line keeps its place

Some 35 new watches a second are taken, 88 proxies moved a second, and from 11 s on nearly all that were taken lost their place so; after 4 s such a proxy asked once in 1.1 s, beside newcomers that ask five times a second. Who has no answer since a move goes on as after a move, for 8 s at most. The wait of a call that was turned away counts as part of its pause. Measured: TestAPlaceInLineIsKept made 4 calls of which 3 lost their place and was told of nothing; 1 call now, told after 2 s. TestUnheardAfterAMove fails without the change too.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -33,6 +33,12 @@
 	moveSettle = 4 * time.Second
 	moveHold   = time.Second
 	movePause  = 200 * time.Millisecond
+	// moveSlack on top of moveHold is when a call after a move is overdue. Discovery turns away who has waited in its line for 2 s, and
+	// answers one call of a proxy at a time: a second one that is made before then gives up the place of the first.
+	moveSlack = 1200 * time.Millisecond
+	// moveStarved is for how long after a move a proxy that has had no answer at the new address goes on asking as after a move: who has
+	// waited longest must not ask less often than who comes last.
+	moveStarved = 8 * time.Second
 	// turnedAwayMost is the longest that is waited after a call that discovery had no room for, beside what the balancer
 	// waits: who asks again at once keeps the line full, for all that ask.
 	turnedAwayMost = 1200 * time.Millisecond
@@ -119,6 +125,7 @@
 	options  Options
 	movedAt  time.Time
 	moves    int                     // so far
+	unheard  bool                    // nothing was answered since the last move
 	hangUp   context.CancelCauseFunc // of the calls that are out
 }
 
@@ -156,6 +163,7 @@
 	d.mu.Lock()
 	d.address, d.movedAt = address, time.Now()
 	d.moves++
+	d.unheard = true
 	d.hangUp(errMoved)
 	d.mu.Unlock()
 	d.client.CloseIdleConnections()
@@ -165,7 +173,18 @@
 func (d *Client) settling() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.movedAt.IsZero() && time.Since(d.movedAt) < moveSettle
+	if d.movedAt.IsZero() {
+		return false
+	}
+	since := time.Since(d.movedAt)
+	return since < moveSettle || d.unheard && since < moveStarved
+}
+
+// heard notes that a call was answered.
+func (d *Client) heard() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unheard = false
 }
 
 // Watch follows the changes until asking for them fails. The next call goes out as soon as the last is answered, so
@@ -177,11 +196,13 @@
 		return
 	}
 	for again := false; ; {
+		begun := time.Now()
 		moves, err := d.ask(ctx)
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
 			again = false
+			d.heard()
 			continue
 		case errors.Is(err, errMoved):
 			continue
@@ -194,7 +215,7 @@
 			continue
 		}
 		if errors.Is(err, errTurnedAway) {
-			sleep(ctx, rand.N(turnedAwayMost))
+			sleep(ctx, rand.N(turnedAwayMost)-time.Since(begun)) // who has waited in line has paused
 		}
 		if !d.end(moves) && ctx.Err() == nil {
 			continue // it has moved since: the new address has not failed yet
@@ -262,7 +283,7 @@
 		hold: d.options.Hold, slack: d.options.Slack,
 	}
 	if settling {
-		r.hold = moveHold
+		r.hold, r.slack = moveHold, moveSlack
 	}
 	ctx, d.hangUp = context.WithCancelCause(ctx)
 	return r, ctx
--- /dev/null
+++ b/internal/discovery/line_test.go
@@ -0,0 +1,160 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"brasswell/balance"
+)
+
+// lineService is a discovery with a line: each call waits for its turn, and one that a proxy makes while another of its calls waits
+// takes the other's place away and begins at the end of the line.
+type lineService struct {
+	turn time.Duration // until a call that begins to wait is answered
+
+	mu       sync.Mutex
+	calls    int
+	turned   int                // away, by a later call
+	waiting  context.CancelFunc // of the call that waits
+	open     []net.Conn
+	serves   sync.WaitGroup
+	over     context.Context
+	shutDown context.CancelFunc
+}
+
+func newLineService(turn time.Duration) *lineService {
+	s := &lineService{turn: turn, waiting: func() {}}
+	s.over, s.shutDown = context.WithCancel(context.Background())
+	return s
+}
+
+func (s *lineService) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	s.mu.Lock()
+	s.open = append(s.open, far)
+	s.mu.Unlock()
+	s.serves.Go(func() { s.serve(far) })
+	return near, nil
+}
+
+func (s *lineService) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.calls++
+		s.waiting()
+		mine, cancel := context.WithTimeout(s.over, s.turn)
+		s.waiting = cancel
+		s.mu.Unlock()
+		<-mine.Done()
+		text := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		if mine.Err() == context.DeadlineExceeded {
+			body := list(2, false, host("a", "127.0.0.1:1", "draining"))
+			text = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		} else {
+			s.mu.Lock()
+			s.turned++
+			s.mu.Unlock()
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+}
+
+func (s *lineService) close() {
+	s.shutDown()
+	s.mu.Lock()
+	for _, c := range s.open {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.serves.Wait()
+}
+
+// TestAPlaceInLineIsKept: discovery has moved and has so many callers that an answer takes as long as it lets anybody wait. The call that
+// waits keeps its place: no second one is made before its turn, which would begin at the end of the line, and so on for ever.
+func TestAPlaceInLineIsKept(t *testing.T) {
+	const longestWait = 2 * time.Second // then discovery turns a call away
+	synctest.Test(t, func(t *testing.T) {
+		s := newLineService(longestWait)
+		defer s.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		began, told := time.Now(), make(chan time.Duration, 1)
+		d := New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+			func(kind balance.ListKind, entries []balance.Entry, _ map[string]string) {
+				if kind == balance.Delta && len(entries) > 0 {
+					cancel()
+					told <- time.Since(began)
+				}
+			})
+		d.client.Transport.(*http.Transport).DialContext = s.dial
+		d.Resume(1)
+		d.Move("discovery:2")
+		var watch sync.WaitGroup
+		watch.Go(func() { d.Watch(ctx) })
+		select {
+		case after := <-told:
+			s.mu.Lock()
+			if s.calls != 1 || s.turned != 0 {
+				t.Errorf("told after %v by %d calls, %d of them turned away; one was enough", after, s.calls, s.turned)
+			}
+			s.mu.Unlock()
+		case <-time.After(toldWithin):
+			s.mu.Lock()
+			t.Errorf("not told within %v: %d calls, %d of them turned away for a later one", toldWithin, s.calls, s.turned)
+			s.mu.Unlock()
+		}
+		cancel()
+		watch.Wait()
+		d.CloseIdle()
+	})
+}
+
+// TestUnheardAfterAMove: a proxy that has had no answer since discovery moved goes on asking as often as one that has just moved, until
+// it has one.
+func TestUnheardAfterAMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		defer s.close()
+		close(s.change)
+		s.fate = func(int) fault {
+			if time.Since(s.start) < toldWithin {
+				return turned
+			}
+			return well
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var told time.Duration
+		d := New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+			func(kind balance.ListKind, _ []balance.Entry, _ map[string]string) {
+				if kind != balance.ListFailed {
+					told = time.Since(s.start)
+				}
+				cancel()
+			})
+		d.client.Transport.(*http.Transport).DialContext = s.dial
+		d.Resume(1)
+		d.Move("discovery:2")
+		d.Watch(ctx)
+		d.CloseIdle()
+		if told == 0 || told > toldWithin+2*movePause {
+			t.Errorf("told after %v; it could be reached after %v", told, toldWithin)
+		}
+	})
+}
