Who has waited in discovery's line in vain waits longer before the next call

So the line stays full by itself of calls that are made again and wait in vain. Change: discovery.Client.turnedAway; a watch holds 3.3 s for 20 s after a refusal. Measured: TestTurnedAwayWaits; all tests of the package pass four times, once with the race detector.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -42,6 +42,18 @@
 	// turnedAwayMost is the longest that is waited after a call that discovery had no room for, beside what the balancer
 	// waits: who asks again at once keeps the line full, for all that ask.
 	turnedAwayMost = 1200 * time.Millisecond
+	// crowdedFor is how long after it has turned a call away discovery counts as crowded, and crowdedHold for how long a watch waits for
+	// news then: a fleet whose watches all end after a shorter time asks more often than such a discovery answers, and goes on so for
+	// good. One silent call is still made up for within toldWithin; the second of two is not, as long as discovery is crowded.
+	crowdedFor  = 20 * time.Second
+	crowdedHold = 3300 * time.Millisecond
+	// turnedAwayLeast is waited at least where a call has waited in discovery's line, for longWait or more, until it was turned away. Calls
+	// that have waited in vain and are made again at once can keep a line so full that nobody's turn comes in time, long after there was
+	// cause for it. It holds from youngFor after the start of the process on: one that has just started has an older list than all
+	// others, and is not to come last.
+	turnedAwayLeast = 800 * time.Millisecond
+	longWait        = time.Second
+	youngFor        = 6 * time.Second
 	// pushRetry is the pause between calls to an agent that does not answer.
 	pushRetry = 250 * time.Millisecond
 	// maxList bounds an answer; a fleet of thousands stays below.
@@ -124,8 +136,10 @@
 	address  string
 	options  Options
 	movedAt  time.Time
-	moves    int                     // so far
-	unheard  bool                    // nothing was answered since the last move
+	moves    int       // so far
+	unheard  bool      // nothing was answered since the last move
+	refused  time.Time // when a call was last turned away
+	started  time.Time
 	hangUp   context.CancelCauseFunc // of the calls that are out
 }
 
@@ -141,7 +155,7 @@
 // New returns a client that makes no call yet. update is called with each list, from one goroutine at a time; it
 // takes the addresses to dial beside the entries.
 func New(address string, zones []string, o Options, log *slog.Logger, update func(balance.ListKind, []balance.Entry, map[string]string)) *Client {
-	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}}
+	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}, started: time.Now()}
 	d.seq.Store(-1)
 	for n, zone := range zones {
 		d.zones[zone] = n
@@ -196,7 +210,7 @@
 		return
 	}
 	for again := false; ; {
-		begun := time.Now()
+		asked := time.Now()
 		moves, err := d.ask(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -215,7 +229,7 @@
 			continue
 		}
 		if errors.Is(err, errTurnedAway) {
-			sleep(ctx, rand.N(turnedAwayMost)-time.Since(begun)) // who has waited in line has paused
+			sleep(ctx, d.turnedAway(time.Since(asked)))
 		}
 		if !d.end(moves) && ctx.Err() == nil {
 			continue // it has moved since: the new address has not failed yet
@@ -228,6 +242,18 @@
 	}
 }
 
+// turnedAway notes that discovery had no room for a call, which it has let wait so long, and returns for how long to wait before the
+// next one.
+func (d *Client) turnedAway(waited time.Duration) (pause time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refused = time.Now()
+	if waited >= longWait && d.refused.Sub(d.started) > youngFor {
+		pause = turnedAwayLeast
+	}
+	return pause + rand.N(turnedAwayMost)
+}
+
 // begin says whether this watch is the only one.
 func (d *Client) begin() bool {
 	d.mu.Lock()
@@ -282,8 +308,11 @@
 		moves: d.moves, url: "http://" + d.address + "/catalog/members", from: d.seq.Load(),
 		hold: d.options.Hold, slack: d.options.Slack,
 	}
-	if settling {
+	switch {
+	case settling:
 		r.hold, r.slack = moveHold, moveSlack
+	case !d.refused.IsZero() && time.Since(d.refused) < crowdedFor:
+		r.hold = max(r.hold, crowdedHold)
 	}
 	ctx, d.hangUp = context.WithCancelCause(ctx)
 	return r, ctx
--- a/internal/discovery/line_test.go
+++ b/internal/discovery/line_test.go
@@ -158,3 +158,41 @@
 		}
 	})
 }
+
+// TestTurnedAwayWaits: after a call that has waited in line in vain the next one comes later, but for a process that has just started, and
+// watches hold longer until discovery has not been crowded for some time.
+func TestTurnedAwayWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settled := New("discovery:1", nil, DefaultOptions(), slog.New(slog.DiscardHandler), nil)
+		time.Sleep(youngFor + 1)
+		young := New("discovery:1", nil, DefaultOptions(), slog.New(slog.DiscardHandler), nil)
+		for range 100 {
+			for what, pause := range map[string]time.Duration{
+				"a process that has just started":      young.turnedAway(longWait),
+				"one that was turned away at once":     settled.turnedAway(longWait - 1),
+				"a young one that was so, all at once": young.turnedAway(0),
+			} {
+				if pause >= turnedAwayMost {
+					t.Fatalf("%s waits for %v", what, pause)
+				}
+			}
+			if pause := settled.turnedAway(longWait); pause < turnedAwayLeast || pause >= turnedAwayLeast+turnedAwayMost {
+				t.Fatalf("one whose call has waited in vain waits for %v", pause)
+			}
+		}
+		hold := func() time.Duration {
+			r, _ := settled.round(t.Context())
+			return r.hold
+		}
+		if got := hold(); got != crowdedHold {
+			t.Errorf("a watch holds for %v where discovery is crowded", got)
+		}
+		time.Sleep(crowdedFor)
+		if got := hold(); got != DefaultOptions().Hold {
+			t.Errorf("a watch holds for %v where discovery is crowded no more", got)
+		}
+		if second := crowdedHold + DefaultOptions().Slack; second+answerRoom > toldWithin {
+			t.Errorf("the call behind a silent watch is made after %v, too late for %v", second, toldWithin)
+		}
+	})
+}
