After a move and a refusal a call may wait 3 s; a longer watch only goes on behind an answer

Change: once a call since the move was turned away, the next is overdue at 3.1 s (a refusal shows that discovery is there; without one the third call still begins within 4 s); only a watch that goes on behind an answer holds 3.3 s.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -36,6 +36,9 @@
 	// moveSlack on top of moveHold is when a call after a move is overdue. Discovery turns away who has waited in its line for 2 s, and
 	// answers one call of a proxy at a time: a second one that is made before then gives up the place of the first.
 	moveSlack = 1200 * time.Millisecond
+	// moveCrowdedSlack takes the place of moveSlack once a call since the move was turned away: discovery is there, and may let a call
+	// wait for up to 3 s.
+	moveCrowdedSlack = 2100 * time.Millisecond
 	// moveStarved is for how long after a move a proxy that has had no answer at the new address goes on asking as after a move: who has
 	// waited longest must not ask less often than who comes last.
 	moveStarved = 8 * time.Second
@@ -44,7 +47,8 @@
 	turnedAwayMost = 1200 * time.Millisecond
 	// crowdedFor is how long after it has turned a call away discovery counts as crowded, and crowdedHold for how long a watch waits for
 	// news then: a fleet whose watches all end after a shorter time asks more often than such a discovery answers, and goes on so for
-	// good. One silent call is still made up for within toldWithin; the second of two is not, as long as discovery is crowded.
+	// good. It is so for a watch that goes on behind an answer; one silent call is still made up for within toldWithin, and the second of
+	// two is not, as long as discovery is crowded.
 	crowdedFor  = 20 * time.Second
 	crowdedHold = 3300 * time.Millisecond
 	// turnedAwayLeast is waited at least where a call has waited in discovery's line, for longWait or more, until it was turned away. Calls
@@ -139,6 +143,7 @@
 	moves    int       // so far
 	unheard  bool      // nothing was answered since the last move
 	refused  time.Time // when a call was last turned away
+	going    bool      // the last call was answered: the next one goes on with a watch
 	started  time.Time
 	hangUp   context.CancelCauseFunc // of the calls that are out
 }
@@ -198,7 +203,7 @@
 func (d *Client) heard() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unheard = false
+	d.unheard, d.going = false, true
 }
 
 // Watch follows the changes until asking for them fails. The next call goes out as soon as the last is answered, so
@@ -221,6 +226,9 @@
 		case errors.Is(err, errMoved):
 			continue
 		case d.settling():
+			if errors.Is(err, errTurnedAway) {
+				d.turnedAway(0)
+			}
 			sleep(ctx, movePause)
 			continue
 		case errors.Is(err, errCutOff) && !again:
@@ -247,7 +255,7 @@
 func (d *Client) turnedAway(waited time.Duration) (pause time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refused = time.Now()
+	d.refused, d.going = time.Now(), false
 	if waited >= longWait && d.refused.Sub(d.started) > youngFor {
 		pause = turnedAwayLeast
 	}
@@ -272,7 +280,7 @@
 	if d.moves != moves {
 		return false
 	}
-	d.watching = false
+	d.watching, d.going = false, false
 	return true
 }
 
@@ -309,9 +317,11 @@
 		hold: d.options.Hold, slack: d.options.Slack,
 	}
 	switch {
+	case settling && d.refused.After(d.movedAt):
+		r.hold, r.slack = moveHold, moveCrowdedSlack
 	case settling:
 		r.hold, r.slack = moveHold, moveSlack
-	case !d.refused.IsZero() && time.Since(d.refused) < crowdedFor:
+	case d.going && !d.refused.IsZero() && time.Since(d.refused) < crowdedFor:
 		r.hold = max(r.hold, crowdedHold)
 	}
 	ctx, d.hangUp = context.WithCancelCause(ctx)
--- a/internal/discovery/line_test.go
+++ b/internal/discovery/line_test.go
@@ -184,6 +184,10 @@
 			r, _ := settled.round(t.Context())
 			return r.hold
 		}
+		if got := hold(); got != DefaultOptions().Hold {
+			t.Errorf("the first call behind a refusal holds for %v", got)
+		}
+		settled.heard()
 		if got := hold(); got != crowdedHold {
 			t.Errorf("a watch holds for %v where discovery is crowded", got)
 		}
@@ -191,6 +195,19 @@
 		if got := hold(); got != DefaultOptions().Hold {
 			t.Errorf("a watch holds for %v where discovery is crowded no more", got)
 		}
+		settled.Move("discovery:2")
+		slack := func() time.Duration {
+			r, _ := settled.round(t.Context())
+			return r.slack
+		}
+		if got := slack(); got != moveSlack {
+			t.Errorf("a call after a move is overdue %v behind its hold", got)
+		}
+		time.Sleep(1)
+		settled.turnedAway(0)
+		if got := slack(); got != moveCrowdedSlack {
+			t.Errorf("a call after a move and a refusal is overdue %v behind its hold", got)
+		}
 		if second := crowdedHold + DefaultOptions().Slack; second+answerRoom > toldWithin {
 			t.Errorf("the call behind a silent watch is made after %v, too late for %v", second, toldWithin)
 		}
