--- a/internal/discovery/line_test.go
+++ b/internal/discovery/line_test.go
@@ -203,7 +203,7 @@
 		if got := slack(); got != moveSlack {
 			t.Errorf("a call after a move is overdue %v behind its hold", got)
 		}
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		settled.turnedAway(0)
 		if got := slack(); got != moveCrowdedSlack {
 			t.Errorf("a call after a move and a refusal is overdue %v behind its hold", got)
