Stand-in tests: a cold backend that a late machine pushes over too

On a machine that ran late the breaking proxy brought 146 requests to the cold backend in the 900 ms of the play; the limit there was 158, of 255 sent on a machine at rest, so the rule was indeed not broken (most 0.92 of the limit) and there was nothing to catch. Ruled out: the auditor; it counted what arrived, and the answers that came late in that play were caught. Change: the fleet of these plays is colder (0.05 of its capacity, warming up in a minute), so that the limit is some 28 requests. What the test asks is the same: the rule on cold servers has to be named.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -178,7 +178,8 @@
 			for i := range classes {
 				classes[i].GiveUp = 500 * time.Millisecond // so that the one that never answers is soon done
 			}
-			f, err := NewFleet(FleetConfig{Seed: 7, Classes: classes, Slots: 1, WarmUp: 10 * time.Second})
+			// So cold that it bears a sixth of what is sent to it: a machine that runs late pushes it over too.
+			f, err := NewFleet(FleetConfig{Seed: 7, Classes: classes, Slots: 1, ColdFrom: 0.05, WarmUp: time.Minute})
 			if err != nil {
 				t.Fatal(err)
 			}
