Accord: a leader does not forget an acknowledgement for an older renewal

Cause, counted in a scratch copy: a renewal waits for a majority (80 to 240 ms with voters 80 ms apart), an acknowledgement does not. And the leader's clock for one that "hears nothing" went on across acknowledgements, as it looked at renewals alone: with a change each second or many steps one renewal in a row of three sufficed to be refused a lease; 187 holders at once were, after a pause of 0.9 s of the voters.

Change: within one log and process what a holder has only grows; whatever says that it has more, a renewal or an acknowledgement, says that it hears.

--- a/internal/cluster/accord/differences.go
+++ b/internal/cluster/accord/differences.go
@@ -101,16 +101,16 @@
 // mayRest says whether a lease may rest on what a holder has said it has, though there is more: as long as nothing is in force, or may
 // come to be by what this leader has written into the log, that the holder does not know. A version that it does not know is kept from
 // being in force by the lease itself: see enforce.
-func (v *voter) mayRest(m *Message, l *lease) bool {
+func (v *voter) mayRest(l *lease) bool {
 	s := &v.state.Rules.Standing
-	if m.Holds.Log != s.Log || l.needsWhole || m.Holds.InForce > s.InForce.Number || m.Holds.Last < s.InForce.Number {
+	if l.holds.Log != s.Log || l.needsWhole || l.holds.InForce > s.InForce.Number || l.holds.Last < s.InForce.Number {
 		return false
 	}
-	if m.Holds.Last < v.enforcing && !v.c.set.NoEnforcing {
+	if l.holds.Last < v.enforcing && !v.c.set.NoEnforcing {
 		return false
 	}
-	_, known := v.digests[m.Holds]
-	return known && v.restsInTime(m.Holds.Last+1)
+	_, known := v.digests[l.holds]
+	return known && v.restsInTime(l.holds.Last+1)
 }
 
 // restsInTime says whether a lease that is granted now, to who does not know a version, is over by the stated time after that was
--- a/internal/cluster/accord/leases.go
+++ b/internal/cluster/accord/leases.go
@@ -29,7 +29,7 @@
 	until        time.Duration // on this clock, it may hold as long
 	holds        Holds
 	form         uint8
-	stalledSince time.Duration // since when it asks with the same and has been told of more; 0 if it does not
+	stalledSince time.Duration // since when it has had the same, and been told of more; 0 if it has all
 	deltas       bool          // it understands differences
 	needsWhole   bool          // it has asked for the whole, or what it has differs from what is here
 	longSent     time.Duration // when something too long for a datagram last went to it; 0 for never
@@ -46,6 +46,27 @@
 	return l
 }
 
+// noteHolds takes in what a holder has said it has. A renewal that waited for a majority may come behind an acknowledgement that was
+// sent after it: within one log a holder only ever comes to have more.
+func (v *voter) noteHolds(l *lease, has Holds) {
+	if has.Log == l.holds.Log && (has.Last < l.holds.Last || has.InForce < l.holds.InForce) {
+		return
+	}
+	progressed := has != l.holds
+	l.holds = has
+	switch {
+	case has == holdsOf(&v.state.Rules.Standing):
+		l.stalledSince = 0
+	case progressed || l.stalledSince == 0:
+		l.stalledSince = v.c.now
+	}
+}
+
+// stalled says whether a holder has come to have no more for long, though it was told of more.
+func (v *voter) stalled(l *lease) bool {
+	return l.stalledSince != 0 && v.c.now-l.stalledSince > v.c.set.Times.Lease/2
+}
+
 // grant gives a proxy a lease on what is applied here, and with it what it lacks.
 func (v *voter) grant(m *Message) {
 	l := v.leaseOf(m)
@@ -56,36 +77,29 @@
 	current := holdsOf(s)
 	l.form, l.deltas = m.Form, m.Deltas && !v.c.set.NoDeltas
 	l.needsWhole = m.Whole || l.deltas && v.differs(m)
-	switch {
-	case s.Form > max(m.Form, 1):
+	if s.Form > max(m.Form, 1) {
 		v.c.answer(m, &Message{Kind: Tell, Standing: outline(s)}) // it says so to its operators
 		return
-	case m.Holds == current:
-		l.stalledSince = 0
-	case l.stalledSince == 0 || m.Holds != l.holds:
-		l.stalledSince = now
-	case now-l.stalledSince > v.c.set.Times.Lease/2:
+	}
+	v.noteHolds(l, m.Holds)
+	if v.stalled(l) {
 		// It is heard and hears nothing. With a lease that it does not know of it would keep every change from being in force.
-		if tell := (&Message{Kind: Tell}); v.bring(tell, l, m.Holds) {
-			v.c.answer(m, tell)
-		}
+		v.answerTell(m, l)
 		return
 	}
-	l.until, l.holds = now+v.c.set.Times.Guard(), m.Holds
-	if m.Holds == current && !l.needsWhole {
+	l.until = now + v.c.set.Times.Guard()
+	if l.holds == current && !l.needsWhole {
 		v.answerGrant(m, l, &Message{Holds: current})
 		return
 	}
-	if v.bringsLong(l, m.Holds) && v.mayRest(m, l) {
+	if v.bringsLong(l, l.holds) && v.mayRest(l) {
 		// What it lacks takes its time. The lease does not wait for that, and rests on what the holder has.
-		v.answerGrant(m, l, &Message{Holds: m.Holds})
-		if tell := (&Message{Kind: Tell}); v.bring(tell, l, m.Holds) {
-			v.c.answer(m, tell)
-		}
+		v.answerGrant(m, l, &Message{Holds: l.holds})
+		v.answerTell(m, l)
 		return
 	}
 	g := &Message{Holds: current}
-	v.bring(g, l, m.Holds) // without it the grant is of use where what was sent before has arrived meanwhile
+	v.bring(g, l, l.holds) // without it the grant is of use where what was sent before has arrived meanwhile
 	v.answerGrant(m, l, g)
 }
 
@@ -98,6 +112,13 @@
 	v.c.answer(m, g)
 }
 
+// answerTell answers a renewal by what its sender lacks, unless something long has just been sent.
+func (v *voter) answerTell(m *Message, l *lease) {
+	if tell := (&Message{Kind: Tell}); v.bring(tell, l, l.holds) {
+		v.c.answer(m, tell)
+	}
+}
+
 // maintain does what a leader has to do now and then.
 func (v *voter) maintain() {
 	now := v.c.now
--- a/internal/cluster/accord/voter.go
+++ b/internal/cluster/accord/voter.go
@@ -158,7 +158,8 @@
 	switch m.Kind {
 	case Have:
 		if l := v.leases[holder{m.From, m.Boot}]; l != nil {
-			l.holds, l.deltas = m.Holds, m.Deltas && !v.c.set.NoDeltas
+			l.deltas = m.Deltas && !v.c.set.NoDeltas
+			v.noteHolds(l, m.Holds)
 			v.enforce()
 		}
 	case Renew:
