Scale: measure a host of one hollow member, and what a host costs by itself

Need: the figures of hollow members are their hosts' divided by the members, so they include a share of the process itself. The result type had fields for a host with one member, and nothing set them. Change: one hollow member has a host process of its own, wherever there are at least three. It is the first that no event kills or cuts off, and is never drawn to die or restart. The result has host_cost: that host as measured, and from it and the mean of the other hosts the fixed cost of a host and the cost of each member (host = fixed + n times member). The member role's processor time and memory are of the other hosts alone; its messages and bytes are of all hollow members. The unused fields are gone; files without host_cost are read. TestScaleInterrupted now expects one process more, which is this host.

--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -29,7 +29,8 @@
 		Short: "Run a fleet of many members on loopback, and measure how its view and its rules scale",
 		Long: "Starts members without the path of requests, many to a process of this program, and five voters in processes of their\n" +
 			"own, over regions and zones that are as far apart as --rtt says. Once all are there and a document is agreed, something\n" +
-			"happens (--event), and how long what takes and what it costs is written down.\n\n" +
+			"happens (--event), and how long what takes and what it costs is written down.\n" +
+			"One member has a process to itself, which shows what a process costs without its members.\n\n" +
 			"It uses less than half of the machine's memory and fewer than 200 processes, and stops with a message otherwise.",
 		Example: "  brasswell scale --members 60 --event change --length 20s\n" +
 			"  brasswell scale --members 400 --regions 3 --zones 11 --rtt 80ms --event machine --format json --out run.json",
--- a/internal/rig/scale/config.go
+++ b/internal/rig/scale/config.go
@@ -43,6 +43,8 @@
 	leastZones = 3
 	// ownBans are those that a run's events add: one alone, those at one a second, and those at once.
 	ownBans = 1 + 2*mostAtOnce
+	// leastWithSolo hollow members are enough for one to have a host of its own: the others share theirs.
+	leastWithSolo = 3
 	// longestLength bounds the measured part.
 	longestLength = time.Hour
 )
@@ -93,6 +95,14 @@
 // hollow is how many members are neither voters nor real.
 func (c *Config) hollow() int { return c.Members - c.Real - Voters }
 
+// shared is how many hollow members share hosts with others: all but the solo member of the plan.
+func (c *Config) shared() int {
+	if c.hollow() < leastWithSolo {
+		return c.hollow()
+	}
+	return c.hollow() - 1
+}
+
 // Validate says what is wrong with a run, and what is allowed.
 func (c *Config) Validate() error {
 	least := Voters + c.Real + 1
--- a/internal/rig/scale/events.go
+++ b/internal/rig/scale/events.go
@@ -98,7 +98,7 @@
 func (r *run) playZone(ctx context.Context) {
 	end := r.meanwhile(ctx, "meanwhile")
 	defer end()
-	zone := r.zoneMembers(r.plan.members[Voters-1].place.Zone)
+	zone := r.zoneMembers(r.plan.failingZone())
 	if !r.succeeds(ctx, r.kill(ctx, zone)) {
 		return
 	}
@@ -177,11 +177,11 @@
 	return r.start(ctx, members, 0)
 }
 
-// drawHollow draws living hollow members, half of all at most.
+// drawHollow draws living hollow members, half of all at most, and never the one that is measured alone.
 func (r *run) drawHollow(most int) []*memberPlan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	members := r.plan.hollowMembers()
+	members := r.plan.sharedMembers()
 	r.dice.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	return members[:max(1, min(most, len(members)/2))]
 }
@@ -197,10 +197,10 @@
 	return members
 }
 
-// drawRack draws hollow members of one zone.
+// drawRack draws hollow members of one zone, and never the one that is measured alone.
 func (r *run) drawRack() []*memberPlan {
 	zone := r.drawHollow(1)[0].place.Zone
-	rack := slices.DeleteFunc(r.zoneMembers(zone), func(m *memberPlan) bool { return m.voter })
+	rack := slices.DeleteFunc(r.zoneMembers(zone), func(m *memberPlan) bool { return m.voter || m == r.plan.solo })
 	return rack[:min(rackSize, len(rack))]
 }
 
--- a/internal/rig/scale/fit/check.go
+++ b/internal/rig/scale/fit/check.go
@@ -1,6 +1,7 @@
 package fit
 
 import (
+	"errors"
 	"fmt"
 	"math"
 
@@ -29,6 +30,9 @@
 		}
 		seen[u.Role] = true
 	}
+	if err := checkHostCost(run.HostCost); err != nil {
+		return err
+	}
 	for i := range run.Changes {
 		if err := checkPhase(&run.Changes[i]); err != nil {
 			return err
@@ -75,6 +79,15 @@
 	return nil
 }
 
+// checkHostCost takes any difference of two measurements, which may be below 0, but no such measurement; cost may be nil.
+func checkHostCost(cost *result.HostCost) error {
+	if cost == nil {
+		return nil
+	}
+	const place = "host_cost.one_member."
+	return errors.Join(checkNumber(place+"cpu_cores", cost.OneMember.CPU), checkNumber(place+"rss_bytes", cost.OneMember.Memory))
+}
+
 func checkPhase(p *result.Phase) error {
 	if p.Name == "" {
 		return fmt.Errorf("changes: a phase has no name")
--- a/internal/rig/scale/fit/fit_test.go
+++ b/internal/rig/scale/fit/fit_test.go
@@ -292,6 +292,8 @@
 		"negative count":     {valid(func(r *result.Run) { r.Roles[0].CPU.Count = -3 }), "roles.member.cpu_cores.count is -3"},
 		"unsorted":           {valid(func(r *result.Run) { r.Roles[0].Memory.P99 = 1 }), "do not ascend"},
 		"negative time":      {valid(func(r *result.Run) { r.Changes[0].InForceS.Median = -1 }), "changes.one.in_force_s.median is -1"},
+		"negative host": {valid(func(r *result.Run) { r.HostCost = &result.HostCost{OneMember: result.Cost{CPU: -1}} }),
+			"host_cost.one_member.cpu_cores is -1"},
 		"agreed too many":    {valid(func(r *result.Run) { r.Changes[0].Agreed = 2 }), "changes.one: proposed 1, agreed 2"},
 		"a phase of no name": {valid(func(r *result.Run) { r.Changes[0].Name = "" }), "no name"},
 	} {
--- a/internal/rig/scale/plan.go
+++ b/internal/rig/scale/plan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 
 	"brasswell/internal/rig/hollow"
 )
@@ -23,6 +24,9 @@
 type plan struct {
 	layout  hollow.Layout
 	members []*memberPlan
+	// solo is the hollow member that is the only one of its host, by which the cost of a host is measured; nil where there are fewer
+	// than leastWithSolo hollow members.
+	solo *memberPlan
 }
 
 // newPlan places all members: voters over the regions, as 2, 2 and 1 over three; real proxies in the first region; hollow members
@@ -50,9 +54,26 @@
 	for i := range c.hollow() {
 		add(hollow.Place{Zone: i % c.Zones}, false)
 	}
+	p.solo = p.chooseSolo(c)
 	return p
 }
 
+// chooseSolo is the first hollow member that no event kills or cuts off, or the first of all where there is none such.
+func (p *plan) chooseSolo(c *Config) *memberPlan {
+	members := p.hollowMembers()
+	if len(members) < leastWithSolo {
+		return nil
+	}
+	untouched := func(m *memberPlan) bool {
+		cutOff := c.Regions > 1 && p.layout.Region(m.place.Zone) == c.cutRegion()
+		return m.place.Zone != p.failingZone() && !cutOff
+	}
+	return members[max(0, slices.IndexFunc(members, untouched))]
+}
+
+// failingZone is the zone whose members the zone event kills: the last voter's.
+func (p *plan) failingZone() int { return p.members[Voters-1].place.Zone }
+
 func (p *plan) addresses() []netip.AddrPort {
 	var all []netip.AddrPort
 	for _, m := range p.members {
@@ -94,6 +115,11 @@
 	return all
 }
 
+// sharedMembers are the hollow members whose hosts have more than one: all but solo.
+func (p *plan) sharedMembers() []*memberPlan {
+	return slices.DeleteFunc(p.hollowMembers(), func(m *memberPlan) bool { return m == p.solo })
+}
+
 // realMembers are the processes of the whole program.
 func (p *plan) realMembers() []*memberPlan {
 	var all []*memberPlan
--- a/internal/rig/scale/result/result.go
+++ b/internal/rig/scale/result/result.go
@@ -18,10 +18,13 @@
 	Settings Settings `json:"settings"`
 	Host     Host     `json:"host"`
 	Roles    []Usage  `json:"roles"`
-	Changes  []Phase  `json:"changes"`
-	Views    Views    `json:"views"`
-	Leases   Leases   `json:"leases"`
-	Service  *Service `json:"service,omitempty"` // nil without real proxies
+	// HostCost is nil in files from before it was measured; where the other hosts have one hollow member each, or none; and where the
+	// member that is measured alone has not lived through the measured part.
+	HostCost *HostCost `json:"host_cost,omitempty"`
+	Changes  []Phase   `json:"changes"`
+	Views    Views     `json:"views"`
+	Leases   Leases    `json:"leases"`
+	Service  *Service  `json:"service,omitempty"` // nil without real proxies
 	// Trouble is what went wrong with the run itself, for people. Interrupted: it was ended before its time.
 	Trouble     []string `json:"trouble,omitempty"`
 	Interrupted bool     `json:"interrupted,omitempty"`
@@ -76,15 +79,11 @@
 
 // Usage is what the members of one role have used over the measured part; rates are by second and member.
 type Usage struct {
-	Role      Role      `json:"role"`
-	Members   int       `json:"members"`
-	Processes int       `json:"processes"`
-	CPU       Quantiles `json:"cpu_cores"` // processor time a second; of hollow members the host's over its members
-	Memory    Quantiles `json:"rss_bytes"` // resident; of hollow members the host's over its members
-	// HostCPU and HostMemory are what a host of hollow members uses with one member, which is in CPU and Memory and not subtracted; 0
-	// where it was not measured.
-	HostCPU          float64   `json:"host_cpu_cores,omitempty"`
-	HostMemory       float64   `json:"host_rss_bytes,omitempty"`
+	Role             Role      `json:"role"`
+	Members          int       `json:"members"`
+	Processes        int       `json:"processes"` // of hollow members without the host of HostCost
+	CPU              Quantiles `json:"cpu_cores"` // processor time a second; of hollow members the host's over its members, without the host of HostCost
+	Memory           Quantiles `json:"rss_bytes"` // resident; as CPU
 	MessagesSent     Quantiles `json:"messages_sent"`
 	MessagesReceived Quantiles `json:"messages_received"`
 	BytesSent        Quantiles `json:"bytes_sent"`
@@ -92,6 +91,21 @@
 	Dropped          int64     `json:"dropped"` // by all, over a bound of the program's own
 }
 
+// HostCost is what a process that hosts hollow members costs. One member of the run has a host of its own, and shares none with
+// others. A host of n members is taken to use Fixed + n times Member, so Fixed and Member follow from that host and from the mean of
+// the others. As differences of measurements either may be below 0 in a run that is short or small.
+type HostCost struct {
+	OneMember Cost `json:"one_member"` // of the host with one member, as measured
+	Fixed     Cost `json:"fixed"`      // of a host without its members
+	Member    Cost `json:"member"`     // of each member that a host has
+}
+
+// Cost is what a process, or a part of one, uses over the measured part.
+type Cost struct {
+	CPU    float64 `json:"cpu_cores"` // processor time a second
+	Memory float64 `json:"rss_bytes"` // resident, at the end of the measured part
+}
+
 // Phase is a set of changes that were proposed in one manner, such as one alone or 60 at one a second.
 type Phase struct {
 	Name     string `json:"name"`
--- a/internal/rig/scale/result/text.go
+++ b/internal/rig/scale/result/text.go
@@ -21,6 +21,7 @@
 		b.WriteString("interrupted before its end\n")
 	}
 	r.writeRoles(&b)
+	r.writeHostCost(&b)
 	r.writeChanges(&b)
 	fmt.Fprintf(&b, "\nviews: right after %s, %d wrong at the end, %d false deaths\n", inSeconds(r.Views.RightS), r.Views.Wrong, r.Views.FalseDeaths)
 	if r.Views.DeadRightS != nil {
@@ -48,6 +49,23 @@
 	}
 }
 
+func (r *Run) writeHostCost(b *strings.Builder) {
+	if r.HostCost == nil {
+		return
+	}
+	fmt.Fprintf(b, "\n%-28s %8s %9s\n", "cost of member hosts", "cores", "MiB")
+	for _, line := range []struct {
+		name string
+		cost Cost
+	}{
+		{"a host with one member", r.HostCost.OneMember},
+		{"a host without its members", r.HostCost.Fixed},
+		{"each member without its host", r.HostCost.Member},
+	} {
+		fmt.Fprintf(b, "%-28s %8.4f %9.2f\n", line.name, line.cost.CPU, line.cost.Memory/megabyte)
+	}
+}
+
 func (r *Run) writeChanges(b *strings.Builder) {
 	if len(r.Changes) == 0 {
 		return
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -12,6 +12,7 @@
 //	events.go     what happens in the measured part
 //	changes.go    changes of the rules, and how they spread
 //	usage.go      what members have used
+//	hostcost.go   what a process of hollow members costs by itself
 //	result        the file that a run writes
 package scale
 
@@ -154,14 +155,14 @@
 	return nil
 }
 
-// hollowHosts is how many processes the hollow members share.
-func (r *run) hollowHosts() int {
-	most := mostProcesses - Voters - r.config.Real
-	return min((r.config.hollow()+perHost-1)/perHost, most)
+// sharedHosts is how many processes the hollow members share; the solo member's is not counted.
+func (r *run) sharedHosts() int {
+	most := mostProcesses - Voters - r.config.Real - 1
+	return min((r.config.shared()+perHost-1)/perHost, most)
 }
 
 // perHost is how many hollow members a process has at most.
-func (r *run) perHost() int { return (r.config.hollow() + r.hollowHosts() - 1) / r.hollowHosts() }
+func (r *run) perHost() int { return (r.config.shared() + r.sharedHosts() - 1) / r.sharedHosts() }
 
 // openHosts starts the processes, without members.
 func (r *run) openHosts() error {
@@ -169,22 +170,8 @@
 		Name: fleetName, Layout: r.plan.layout, Seeds: r.plan.seeds(), Voters: r.plan.voterNames(), Lease: r.config.Lease,
 		Period: r.config.Period, Numbers: r.numbers(), Seed: r.config.Seed,
 	}
-	for i := range Voters + r.hollowHosts() {
-		name := fmt.Sprintf("host %d", i-Voters+1)
-		if i < Voters {
-			name = "voter " + r.plan.members[i].name
-		}
-		h, err := startHost(r.config.Program, name)
-		if err != nil {
-			return err
-		}
-		r.hosts = append(r.hosts, h)
-	}
-	for i, m := range r.plan.members[:Voters] {
-		m.host = r.hosts[i]
-	}
-	for i, m := range r.plan.hollowMembers() {
-		m.host = r.hosts[Voters+i%r.hollowHosts()]
+	if err := r.startHosts(); err != nil {
+		return err
 	}
 	r.observers = hollow.NewHost(fleet)
 	for _, h := range r.hosts {
@@ -195,6 +182,42 @@
 	return nil
 }
 
+// startHosts starts the processes and tells which members each hosts: a voter each, then the shared ones, then the solo member's.
+func (r *run) startHosts() error {
+	for _, m := range r.plan.members[:Voters] {
+		host, err := r.startHost("voter " + m.name)
+		if err != nil {
+			return err
+		}
+		m.host = host
+	}
+	for i := range r.sharedHosts() {
+		if _, err := r.startHost(fmt.Sprintf("host %d", i+1)); err != nil {
+			return err
+		}
+	}
+	for i, m := range r.plan.sharedMembers() {
+		m.host = r.hosts[Voters+i%r.sharedHosts()]
+	}
+	solo := r.plan.solo
+	if solo == nil {
+		return nil
+	}
+	host, err := r.startHost("host of " + solo.name + " alone")
+	solo.host = host
+	return err
+}
+
+// startHost starts one process.
+func (r *run) startHost(name string) (*host, error) {
+	h, err := startHost(r.config.Program, name)
+	if err != nil {
+		return nil, err
+	}
+	r.hosts = append(r.hosts, h)
+	return h, nil
+}
+
 // numbers says whether the leader deals out the members' own numbers, which it does only to so many.
 func (r *run) numbers() bool { return r.config.Numbers && r.config.Members <= rules.MostMembers }
 
@@ -229,7 +252,7 @@
 
 // begin starts all members and begins the measured part, unless the run is ended before: then it returns no usage.
 func (r *run) begin(out *result.Run) (before *usage, err error) {
-	every := startEvery * time.Duration(r.hollowHosts())
+	every := startEvery * time.Duration(r.sharedHosts())
 	if r.config.Event == Start {
 		before, every = r.beginMeasuring(out), 0
 	}
--- a/internal/rig/scale/usage.go
+++ b/internal/rig/scale/usage.go
@@ -101,11 +101,15 @@
 func (r *run) roles(out *result.Run, before, after *usage) {
 	length := after.at.Sub(before.at).Seconds()
 	by := map[result.Role]*roleUsage{}
-	for i := range r.hosts {
+	for i, h := range r.hosts {
 		was, is := before.hosts[i], after.hosts[i]
 		if was == nil || is == nil {
 			continue
 		}
+		out.Host.Load += (is.CPU - was.CPU).Seconds() / length
+		if r.isSolo(h) {
+			continue
+		}
 		role := result.Member
 		if i < Voters {
 			role = result.Voter
@@ -116,9 +120,9 @@
 		if by[role] == nil {
 			by[role] = &roleUsage{}
 		}
-		out.Host.Load += (is.CPU - was.CPU).Seconds() / length
 		by[role].add(was, is, length)
 	}
+	r.addSolo(out, by[result.Member], before, after)
 	for i, is := range after.real {
 		if by[result.Proxy] == nil {
 			by[result.Proxy] = &roleUsage{}
@@ -138,19 +142,27 @@
 // roleUsage is what the hosts of one role have used; rates are by second and member.
 type roleUsage struct {
 	members, processes                                    int
+	total                                                 result.Cost // of all processes together
 	cpu, memory, sent, received, sentBytes, receivedBytes []float64
 	dropped                                               int64
 }
 
-// add puts what a host used between two moments to it. Members that were not there all the time
-// are left out, unless none was at the beginning.
+// add puts what a host used between two moments to it.
 func (u *roleUsage) add(was, is *hollow.Usage, length float64) {
 	u.processes++
-	u.members += len(is.Members)
+	cost := costBetween(was, is, length)
+	u.total.CPU, u.total.Memory = u.total.CPU+cost.CPU, u.total.Memory+cost.Memory
 	if n := float64(len(is.Members)); n > 0 {
-		u.cpu = append(u.cpu, (is.CPU-was.CPU).Seconds()/length/n)
-		u.memory = append(u.memory, float64(is.MemoryB)/n)
+		u.cpu = append(u.cpu, cost.CPU/n)
+		u.memory = append(u.memory, cost.Memory/n)
 	}
+	u.addTraffic(was, is, length)
+}
+
+// addTraffic puts what the members of a host sent and received between two moments to it. Members that were not there all the time
+// are left out, unless none was at the beginning.
+func (u *roleUsage) addTraffic(was, is *hollow.Usage, length float64) {
+	u.members += len(is.Members)
 	earlier := map[uint64]hollow.MemberUsage{}
 	for _, m := range was.Members {
 		earlier[m.Boot] = m
--- a/internal/rig/scale_test.go
+++ b/internal/rig/scale_test.go
@@ -63,6 +63,12 @@
 	if l := run.Leases; l.Members != living || l.Held != living || l.AllAfterS == nil {
 		t.Errorf("leases: %d of %d held at the end, and %d should live; all held after %v", l.Held, l.Members, living, l.AllAfterS)
 	}
+	if c := run.HostCost; c == nil || c.OneMember.CPU <= 0 || c.OneMember.Memory <= 0 {
+		t.Errorf("a host with one member: %+v", c)
+	}
+	if hollow := run.Roles[0]; hollow.Role != result.Member || hollow.Processes != 1 || hollow.CPU.Count != 1 || hollow.Members != living-scale.Voters {
+		t.Errorf("hollow members, whose host with one is not in their processes: %+v", hollow)
+	}
 	if len(run.Roles) != 3 || run.Settings.Bans != 4 || run.Settings.Classes != 2 {
 		t.Errorf("roles %+v, settings %+v", run.Roles, run.Settings)
 	}
@@ -112,7 +118,7 @@
 	for said.Scan() && !strings.Contains(said.Text(), "measuring") {
 	}
 	hosts := children(t, cmd.Process.Pid)
-	if len(hosts) != scale.Voters+1 {
+	if len(hosts) != scale.Voters+2 { // the shared host, and that of one member
 		t.Errorf("%d processes", len(hosts))
 	}
 	cmd.Process.Signal(os.Interrupt)
