Scale fit: a table of events, and the page must have each table that has data

Need: what an event did to a fleet stood in the files alone: the in-force table shows models of times, and neither requests nor leases. Two tables that the command could print, of real proxies and of calls, were not held against the page. Ruled out: a longer in-force table, whose rows are figures of a series and not runs. Change: table events, a row for each run that is not at rest, also one that is left out of the fits, with the reason: changes proposed, agreed and never in force by phase, times in force, leases lost, false deaths, views right, requests. Its figures are checked in runs that are left out too. Table usage-proxy has the real proxies of all events, each event apart, as they spend on requests; hollow members stay at rest alone. The page test asks for each table that the results give, beside a list that must be given; -update adds a missing table behind the one before it. Table models leaves out rows for which no model was tried, which were dashes alone. Checks changed: difference compares the page with the tables that are given, where it compared it with a list; TestTheTablesOfCapacity and TestTheTablesOfSyntheticRuns expect events too. Both ask for more than before.

--- a/internal/rig/scale/fit/check.go
+++ b/internal/rig/scale/fit/check.go
@@ -16,8 +16,11 @@
 	if err := checkNumber("host.load", run.Host.Load); err != nil {
 		return err
 	}
+	if err := checkOutcome(run); err != nil {
+		return err
+	}
 	if leftOut(run) != "" {
-		return nil // its figures are not used
+		return nil // its usage is not shown
 	}
 	seen := map[result.Role]bool{}
 	for i := range run.Roles {
@@ -30,14 +33,46 @@
 		}
 		seen[u.Role] = true
 	}
-	if err := checkHostCost(run.HostCost); err != nil {
-		return err
-	}
+	return checkHostCost(run.HostCost)
+}
+
+// checkOutcome looks at what is shown of a run whether or not it is left out of the fits.
+func checkOutcome(run *result.Run) error {
 	for i := range run.Changes {
 		if err := checkPhase(&run.Changes[i]); err != nil {
 			return err
 		}
 	}
+	for _, one := range []struct {
+		place string
+		value int
+	}{
+		{"views.false_deaths", run.Views.FalseDeaths}, {"views.wrong", run.Views.Wrong}, {"leases.lost", run.Leases.LostAwake},
+	} {
+		if one.value < 0 {
+			return fmt.Errorf("%s is %d", one.place, one.value)
+		}
+	}
+	if err := checkTime("views.right_s", run.Views.RightS); err != nil {
+		return err
+	}
+	if err := checkTime("views.dead_right_s", run.Views.DeadRightS); err != nil {
+		return err
+	}
+	return checkService(run.Service)
+}
+
+// checkService takes the requests of a run; service may be nil.
+func checkService(service *result.Service) error {
+	if service == nil {
+		return nil
+	}
+	if service.Asked < 0 || service.Served < 0 || service.Served > service.Asked {
+		return fmt.Errorf("service: %d of %d served", service.Served, service.Asked)
+	}
+	if service.Share < 0 || service.Share > 1 {
+		return fmt.Errorf("service.share is %v, must be between 0 and 1", service.Share)
+	}
 	return nil
 }
 
@@ -101,7 +136,15 @@
 			return err
 		}
 	}
-	return nil
+	return checkTime(place+".healed_s", p.HealedS)
+}
+
+// checkTime takes a time that may never have come.
+func checkTime(place string, s *float64) error {
+	if s == nil {
+		return nil
+	}
+	return checkNumber(place, *s)
 }
 
 func checkQuantiles(place string, q result.Quantiles) error {
--- a/internal/rig/scale/fit/fit.go
+++ b/internal/rig/scale/fit/fit.go
@@ -19,7 +19,8 @@
 	predictedSize = 1400
 	// fewSizes and fewRuns: a row with fewer says so.
 	fewSizes, fewRuns = 5, 3
-	// eventAtRest is the event of the runs whose usage is fitted. Those of the others include what the event itself costs.
+	// eventAtRest is the event of the runs whose usage is fitted. Those of the others include what the event itself costs; real proxies
+	// are fitted in all, each event apart, as what they spend is spent on requests.
 	eventAtRest = "rest"
 )
 
@@ -48,6 +49,7 @@
 	Runs    []RunLine  `json:"runs"`
 	Usage   []Row      `json:"usage"`
 	InForce []Row      `json:"in_force"`
+	Events  []EventRow `json:"events"`
 	Calls   []CallsRow `json:"calls"`
 }
 
@@ -89,23 +91,29 @@
 // report fits runs that make sense.
 func report(files []File) *Report {
 	r := &Report{}
-	for _, f := range files {
+	for _, f := range slices.SortedStableFunc(slices.Values(files), compareFiles) {
 		r.Runs = append(r.Runs, runLine(f))
-	}
-	slices.SortStableFunc(r.Runs, func(a, b RunLine) int {
-		return cmp.Or(compareSeries(a.Series, b.Series), cmp.Compare(a.Members, b.Members), cmp.Compare(a.File, b.File))
-	})
-	all, runs := group(files)
-	for _, s := range all {
-		if s.Event == eventAtRest {
-			r.Usage = append(r.Usage, usageRows(s, runs[s])...)
-		} else {
-			r.InForce = append(r.InForce, inForceRows(s, runs[s])...)
+		if row, ok := eventRow(f); ok {
+			r.Events = append(r.Events, row)
 		}
 	}
+	atRest, others, runs := group(files)
+	for _, s := range atRest {
+		r.Usage = append(r.Usage, usageRows(s, runs[s], roles)...)
+	}
+	for _, s := range others {
+		r.Usage = append(r.Usage, usageRows(s, runs[s], []result.Role{result.Proxy})...)
+		r.InForce = append(r.InForce, inForceRows(s, runs[s])...)
+	}
 	return r
 }
 
+// compareFiles puts runs in the order in which they are listed.
+func compareFiles(a, b File) int {
+	s, t := &a.Run.Settings, &b.Run.Settings
+	return cmp.Or(compareSeries(seriesOf(s), seriesOf(t)), cmp.Compare(s.Members, t.Members), cmp.Compare(a.Name, b.Name))
+}
+
 func runLine(f File) RunLine {
 	s := &f.Run.Settings
 	used := "fitted"
@@ -124,8 +132,8 @@
 	}
 }
 
-// usageRows are the rows of all roles' usage.
-func usageRows(s Series, runs []*result.Run) []Row {
+// usageRows are the rows of the usage of some roles.
+func usageRows(s Series, runs []*result.Run, roles []result.Role) []Row {
 	var rows []Row
 	for _, role := range roles {
 		for _, f := range usageFigures {
--- a/internal/rig/scale/fit/fit_test.go
+++ b/internal/rig/scale/fit/fit_test.go
@@ -294,8 +294,15 @@
 		"negative time":    {valid(func(r *result.Run) { r.Changes[0].InForceS.Median = -1 }), "changes.one.in_force_s.median is -1"},
 		"negative host": {valid(func(r *result.Run) { r.HostCost = &result.HostCost{OneMember: result.Cost{CPU: -1}} }),
 			"host_cost.one_member.cpu_cores is -1"},
-		"agreed too many":    {valid(func(r *result.Run) { r.Changes[0].Agreed = 2 }), "changes.one: proposed 1, agreed 2"},
-		"a phase of no name": {valid(func(r *result.Run) { r.Changes[0].Name = "" }), "no name"},
+		"agreed too many":               {valid(func(r *result.Run) { r.Changes[0].Agreed = 2 }), "changes.one: proposed 1, agreed 2"},
+		"false deaths":                  {valid(func(r *result.Run) { r.Views.FalseDeaths = -1 }), "views.false_deaths is -1"},
+		"leases lost":                   {valid(func(r *result.Run) { r.Leases.LostAwake = -2 }), "leases.lost is -2"},
+		"views right before":            {valid(func(r *result.Run) { r.Views.RightS = new(float64); *r.Views.RightS = -1 }), "views.right_s is -1"},
+		"healed before":                 {valid(func(r *result.Run) { r.Changes[0].HealedS = new(float64); *r.Changes[0].HealedS = -1 }), "changes.one.healed_s is -1"},
+		"served too many":               {valid(func(r *result.Run) { r.Service = &result.Service{Asked: 1, Served: 2} }), "service: 2 of 1 served"},
+		"a share above 1":               {valid(func(r *result.Run) { r.Service = &result.Service{Asked: 1, Served: 1, Share: 1.5} }), "service.share is 1.5"},
+		"left out, and agreed too many": {valid(func(r *result.Run) { r.Interrupted, r.Changes[0].Agreed = true, 2 }), "changes.one: proposed 1, agreed 2"},
+		"a phase of no name":            {valid(func(r *result.Run) { r.Changes[0].Name = "" }), "no name"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			folder := t.TempDir()
--- a/internal/rig/scale/fit/markdown.go
+++ b/internal/rig/scale/fit/markdown.go
@@ -24,7 +24,8 @@
 	return fmt.Sprintf(beginLine, t.Name) + "\n" + t.Text + endLine + "\n"
 }
 
-// Tables are all tables that there is something for, in a fixed order: runs, criterion, usage-ROLE, in-force, models and calls.
+// Tables are all tables that there is something for, in a fixed order: runs, criterion, usage-ROLE, in-force, events,
+// models and calls.
 func (r *Report) Tables() []Table {
 	var all []Table
 	if len(r.Runs) > 0 {
@@ -44,7 +45,11 @@
 	if len(r.InForce) > 0 {
 		all = append(all, Table{"in-force", rowsText(r.InForce)})
 	}
-	if rows := slices.Concat(r.Usage, r.InForce); len(rows) > 0 {
+	if len(r.Events) > 0 {
+		all = append(all, Table{"events", eventsText(r.Events)})
+	}
+	noModel := func(row Row) bool { return row.Chosen == nil }
+	if rows := slices.DeleteFunc(slices.Concat(r.Usage, r.InForce), noModel); len(rows) > 0 {
 		all = append(all, Table{"models", modelsText(rows)})
 	}
 	if len(r.Calls) > 0 {
@@ -89,7 +94,7 @@
 	})
 }
 
-// modelsText are all models that were tried, a table for each series.
+// modelsText are all models that were tried for rows that have any, a table for each series.
 func modelsText(rows []Row) string {
 	text := "Of each model: residual standard deviation; largest residual; leave-one-size-out error. The chosen one in bold.\n\n"
 	return text + bySeries(rows, func(rows []Row) string {
@@ -123,16 +128,19 @@
 	return text
 }
 
-// bySeries writes rows, which stand by series, under a line for each series.
+// bySeries writes rows under a line for each series, in the order in which the series first stand.
 func bySeries(rows []Row, write func([]Row) string) string {
-	var parts []string
-	for len(rows) > 0 {
-		n := slices.IndexFunc(rows, func(r Row) bool { return r.Series != rows[0].Series })
-		if n < 0 {
-			n = len(rows)
+	var all []Series
+	of := map[Series][]Row{}
+	for _, r := range rows {
+		if of[r.Series] == nil {
+			all = append(all, r.Series)
 		}
-		parts = append(parts, "Series: "+rows[0].Series.String()+".\n\n"+write(rows[:n]))
-		rows = rows[n:]
+		of[r.Series] = append(of[r.Series], r)
+	}
+	var parts []string
+	for _, s := range all {
+		parts = append(parts, "Series: "+s.String()+".\n\n"+write(of[s]))
 	}
 	return strings.Join(parts, "\n")
 }
--- a/internal/rig/scale/fit/page_test.go
+++ b/internal/rig/scale/fit/page_test.go
@@ -19,8 +19,8 @@
 	measuredRuns = "../../../../docs/measurements/scale"
 )
 
-// tablesOfCapacity are the tables that docs/CAPACITY.md must have.
-var tablesOfCapacity = []string{"runs", "criterion", "usage-member", "usage-leader", "usage-voter", "in-force", "models"}
+// tablesOfCapacity are the tables that docs/CAPACITY.md must have. It has to have all others too for which there are results.
+var tablesOfCapacity = []string{"runs", "criterion", "usage-member", "usage-leader", "usage-voter", "in-force", "events", "models"}
 
 // block is one table between markers in a page.
 type block struct {
@@ -58,7 +58,7 @@
 	}
 }
 
-// difference says in what a page's tables are not those expected.
+// difference says in what a page's tables are not those that the runs give, and which of the expected ones the runs do not give.
 func difference(page string, expected []string, tables []Table) error {
 	blocks, err := blocksOf(page)
 	if err != nil {
@@ -76,15 +76,25 @@
 			wrong = append(wrong, fmt.Errorf("table %s: the page has\n%s\nthe runs give\n%s", b.name, b.text, tables[i].Text))
 		}
 	}
+	var given []string
+	for _, t := range tables {
+		given = append(given, t.Name)
+	}
+	for _, name := range expected {
+		if !slices.Contains(given, name) {
+			wrong = append(wrong, fmt.Errorf("table %s: expected, and the runs do not give it", name))
+		}
+	}
 	slices.Sort(found)
-	expected = slices.Sorted(slices.Values(expected))
-	if !slices.Equal(found, expected) {
-		wrong = append(wrong, fmt.Errorf("tables on the page %q, expected %q", found, expected))
+	slices.Sort(given)
+	if !slices.Equal(found, given) {
+		wrong = append(wrong, fmt.Errorf("tables on the page %q, the runs give %q", found, given))
 	}
 	return errors.Join(wrong...)
 }
 
-// updated is a page with its tables written anew. A table that there is nothing for stays.
+// updated is a page with its tables written anew. A table that it has not stands behind the one that comes before it, or at the page's
+// end. A table that there is nothing for stays.
 func updated(page string, tables []Table) (string, error) {
 	blocks, err := blocksOf(page)
 	if err != nil {
@@ -95,9 +105,35 @@
 			page = page[:b.start] + tables[i].Text + page[b.end:]
 		}
 	}
+	for i := range tables {
+		if page, err = withTable(page, tables, i); err != nil {
+			return "", err
+		}
+	}
 	return page, nil
 }
 
+// withTable is a page with a table, which is added where the page has it not.
+func withTable(page string, tables []Table, number int) (string, error) {
+	blocks, err := blocksOf(page)
+	if err != nil {
+		return "", err
+	}
+	named := func(t Table) int {
+		return slices.IndexFunc(blocks, func(b block) bool { return b.name == t.Name })
+	}
+	if named(tables[number]) >= 0 {
+		return page, nil
+	}
+	at := len(page)
+	for _, before := range tables[:number] {
+		if i := named(before); i >= 0 {
+			at = blocks[i].end + len(endLine) + 1
+		}
+	}
+	return page[:at] + "\n" + tables[number].Block() + page[at:], nil
+}
+
 // checkPage holds a page against the tables, or writes them with -update.
 func checkPage(t *testing.T, path string, expected []string, tables []Table) {
 	t.Helper()
@@ -134,7 +170,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	checkPage(t, filepath.Join("testdata", "CAPACITY.md"), []string{"runs", "criterion", "usage-member", "in-force", "models", "calls"}, report.Tables())
+	checkPage(t, filepath.Join("testdata", "CAPACITY.md"), []string{"runs", "criterion", "usage-member", "in-force", "events", "models", "calls"}, report.Tables())
 }
 
 func TestPagesThatDiffer(t *testing.T) {
@@ -159,8 +195,42 @@
 			t.Errorf("%s: taken as right", name)
 		}
 	}
+	if difference(right, []string{"one", "two", "three"}, tables) == nil {
+		t.Error("an expected table that the runs do not give: taken as right")
+	}
+	if difference(right, []string{"one"}, append(tables, Table{"three", "| 3 |\n"})) == nil {
+		t.Error("a table that the runs give, not expected and not on the page: taken as right")
+	}
 	stale := strings.Replace(right, "| 2 |", "| 5 |\n| 6 |", 1)
 	if got, err := updated(stale, tables); err != nil || got != right {
 		t.Errorf("%v\n%s", err, got)
 	}
 }
+
+// TestMissingTablesAreAdded: -update adds a table behind the one before it, and keeps the text of the page.
+func TestMissingTablesAreAdded(t *testing.T) {
+	one, two, three := Table{"one", "| 1 |\n"}, Table{"two", "| 2 |\n"}, Table{"three", "| 3 |\n"}
+	tables := []Table{one, two, three}
+	for name, c := range map[string]struct{ page, want string }{
+		"in between":   {"# Page\n\n" + one.Block() + "\nText.\n\n" + three.Block(), "# Page\n\n" + one.Block() + "\n" + two.Block() + "\nText.\n\n" + three.Block()},
+		"the last two": {one.Block() + "\nText.\n", one.Block() + "\n" + two.Block() + "\n" + three.Block() + "\nText.\n"},
+		"all":          {"# Page\n", "# Page\n\n" + one.Block() + "\n" + two.Block() + "\n" + three.Block()},
+	} {
+		got, err := updated(c.page, tables)
+		if err != nil || got != c.want {
+			t.Errorf("%s: %v\n%s", name, err, got)
+		}
+		if err := difference(got, []string{"one", "two", "three"}, tables); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestTheTablesOfSyntheticEvents holds the tables of events and of real proxies, to the digit.
+func TestTheTablesOfSyntheticEvents(t *testing.T) {
+	report, err := Folder(eventsFolder(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkPage(t, filepath.Join("testdata", "EVENTS.md"), []string{"runs", "criterion", "usage-proxy", "in-force", "events", "models"}, report.Tables())
+}
--- a/internal/rig/scale/fit/series.go
+++ b/internal/rig/scale/fit/series.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"brasswell/internal/rig/scale/result"
@@ -64,19 +65,23 @@
 	}
 }
 
-// group sorts the runs that are fitted by series. The series' order is that of compareSeries, the runs' within one that of the files.
-func group(files []File) (all []Series, runs map[Series][]*result.Run) {
+// group sorts the runs that are fitted by series, those at rest apart. The series' order is that of compareSeries, the runs' within one
+// that of the files.
+func group(files []File) (atRest, others []Series, runs map[Series][]*result.Run) {
 	runs = map[Series][]*result.Run{}
 	for _, f := range files {
 		if leftOut(f.Run) != "" {
 			continue
 		}
 		s := seriesOf(&f.Run.Settings)
-		if runs[s] == nil {
-			all = append(all, s)
-		}
 		runs[s] = append(runs[s], f.Run)
 	}
-	slices.SortFunc(all, compareSeries)
-	return all, runs
+	for _, s := range slices.SortedFunc(maps.Keys(runs), compareSeries) {
+		if s.Event == eventAtRest {
+			atRest = append(atRest, s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	return atRest, others, runs
 }
