--- a/internal/rig/scale/fit/fit_test.go
+++ b/internal/rig/scale/fit/fit_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -11,7 +10,6 @@
 	"strings"
 	"testing"
 
-	"brasswell/internal/rig/scale/callresult"
 	"brasswell/internal/rig/scale/result"
 )
 
@@ -83,62 +81,6 @@
 	return folder
 }
 
-// syntheticCalls is a measurement in which each proxy adds half a millisecond.
-func syntheticCalls() *callresult.Run {
-	side := func(p99 float64) callresult.Side {
-		return callresult.Side{Sent: 12, Answered: 12, Recorded: 10, MedianMS: 1, P99MS: p99, WorstMS: 2 * p99, LateP99MS: 0.25}
-	}
-	run := &callresult.Run{Version: callresult.Version, Settings: callresult.Settings{LengthS: 10}, Host: result.Host{Cores: 8}, LoadBefore: 0.5}
-	for _, depth := range []int{7, 1} {
-		c := callresult.Case{Rate: 300, Depth: depth}
-		for pair := range 3 {
-			p := callresult.Pair{Direct: side(2), Proxied: side(2 + 0.5*float64(depth) + float64(pair)/8)}
-			for range depth {
-				p.HopCalls, p.HopCPUUS = append(p.HopCalls, 12), append(p.HopCPUUS, 80)
-			}
-			c.Pairs = append(c.Pairs, p)
-		}
-		run.Cases = append(run.Cases, c)
-	}
-	return run
-}
-
-// writeCalls puts a measurement of calls in a folder of results.
-func writeCalls(t *testing.T, folder, name string, run *callresult.Run) {
-	t.Helper()
-	var text bytes.Buffer
-	if err := run.Write(&text); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.MkdirAll(filepath.Join(folder, callsFolder), 0o755); err != nil {
-		t.Fatal(err)
-	}
-	writeText(t, filepath.Join(folder, callsFolder, name), text.String())
-}
-
-func TestCalls(t *testing.T) {
-	folder := t.TempDir()
-	writeCalls(t, folder, "a.json", syntheticCalls())
-	r, err := Folder(folder)
-	if err != nil || len(r.Runs) != 0 || len(r.Calls) != 2 {
-		t.Fatalf("%+v, %v", r, err)
-	}
-	if one := r.Calls[0]; one.Depth != 1 || one.Summary.Added != 0.625 || one.Summary.CPUUS != 80 || len(one.Remarks) != 0 {
-		t.Errorf("%+v", one)
-	}
-	if tables := r.Tables(); len(tables) != 1 || tables[0].Name != "calls" {
-		t.Errorf("%+v", tables)
-	}
-	path := filepath.Join(folder, callsFolder, "b.json")
-	for _, text := range []string{"{", `{"version":9}`, `{"version":1,"cases":[{}]}`} {
-		writeText(t, path, text)
-		var wrong *FileError
-		if _, err := Folder(folder); !errors.As(err, &wrong) || wrong.Path != path {
-			t.Errorf("%s: %v", text, err)
-		}
-	}
-}
-
 func rowOf(t *testing.T, rows []Row, figure, quantile string) Row {
 	t.Helper()
 	for _, r := range rows {
@@ -263,77 +205,6 @@
 	}
 }
 
-func TestFoldersThatCannotBeFitted(t *testing.T) {
-	valid := func(change func(*result.Run)) string {
-		run := syntheticRun("rest", 60, 1)
-		change(run)
-		var text bytes.Buffer
-		if err := run.Write(&text); err != nil {
-			t.Fatal(err)
-		}
-		return text.String()
-	}
-	whole := valid(func(*result.Run) {})
-	for name, c := range map[string]struct{ text, want string }{
-		"cut":              {whole[:len(whole)/2], "cut, or not one JSON value"},
-		"two values":       {whole + whole, "cut, or not one JSON value"},
-		"NaN":              {strings.Replace(whole, `"load": 3.25`, `"load": NaN`, 1), "cut, or not one JSON value"},
-		"too large":        {strings.Replace(whole, `"load": 3.25`, `"load": 1e999`, 1), "load"},
-		"another version":  {strings.Replace(whole, `"version": 1`, `"version": 7`, 1), "version 7"},
-		"no members":       {valid(func(r *result.Run) { r.Settings.Members = 0 }), "settings.members is 0"},
-		"no event":         {valid(func(r *result.Run) { r.Settings.Event = "" }), "settings.event is empty"},
-		"negative lease":   {valid(func(r *result.Run) { r.Settings.LeaseS = -1 }), "settings.lease_s is -1"},
-		"negative load":    {valid(func(r *result.Run) { r.Host.Load = -1 }), "host.load is -1"},
-		"unknown role":     {valid(func(r *result.Run) { r.Roles[0].Role = "king" }), `unknown role "king"`},
-		"role twice":       {valid(func(r *result.Run) { r.Roles = append(r.Roles, r.Roles[0]) }), "stands twice"},
-		"role of none":     {valid(func(r *result.Run) { r.Roles[0].Members = 0 }), "roles.member.members is 0"},
-		"role of too many": {valid(func(r *result.Run) { r.Roles[0].Members = 61 }), "roles.member.members is 61"},
-		"negative rate":    {valid(func(r *result.Run) { r.Roles[0].BytesSent.Median = -3 }), "roles.member.bytes_sent.median is -3"},
-		"negative count":   {valid(func(r *result.Run) { r.Roles[0].CPU.Count = -3 }), "roles.member.cpu_cores.count is -3"},
-		"unsorted":         {valid(func(r *result.Run) { r.Roles[0].Memory.P99 = 1 }), "do not ascend"},
-		"negative time":    {valid(func(r *result.Run) { r.Changes[0].InForceS.Median = -1 }), "changes.one.in_force_s.median is -1"},
-		"negative host": {valid(func(r *result.Run) { r.HostCost = &result.HostCost{OneMember: result.Cost{CPU: -1}} }),
-			"host_cost.one_member.cpu_cores is -1"},
-		"agreed too many":               {valid(func(r *result.Run) { r.Changes[0].Agreed = 2 }), "changes.one: proposed 1, agreed 2"},
-		"false deaths":                  {valid(func(r *result.Run) { r.Views.FalseDeaths = -1 }), "views.false_deaths is -1"},
-		"leases lost":                   {valid(func(r *result.Run) { r.Leases.LostAwake = -2 }), "leases.lost is -2"},
-		"views right before":            {valid(func(r *result.Run) { r.Views.RightS = new(float64); *r.Views.RightS = -1 }), "views.right_s is -1"},
-		"healed before":                 {valid(func(r *result.Run) { r.Changes[0].HealedS = new(float64); *r.Changes[0].HealedS = -1 }), "changes.one.healed_s is -1"},
-		"served too many":               {valid(func(r *result.Run) { r.Service = &result.Service{Asked: 1, Served: 2} }), "service: 2 of 1 served"},
-		"a share above 1":               {valid(func(r *result.Run) { r.Service = &result.Service{Asked: 1, Served: 1, Share: 1.5} }), "service.share is 1.5"},
-		"left out, and agreed too many": {valid(func(r *result.Run) { r.Interrupted, r.Changes[0].Agreed = true, 2 }), "changes.one: proposed 1, agreed 2"},
-		"a phase of no name":            {valid(func(r *result.Run) { r.Changes[0].Name = "" }), "no name"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			folder := t.TempDir()
-			path := filepath.Join(folder, "run.json")
-			writeText(t, path, c.text)
-			r, err := Folder(folder)
-			var wrong *FileError
-			if r != nil || !errors.As(err, &wrong) || wrong.Path != path || wrong.Mend == "" || !strings.Contains(err.Error(), c.want) {
-				t.Errorf("%v, want %q", err, c.want)
-			}
-		})
-	}
-	nowhere := filepath.Join(t.TempDir(), "none")
-	empty := t.TempDir()
-	file := filepath.Join(t.TempDir(), "file")
-	writeText(t, file, "")
-	for folder, want := range map[string]string{nowhere: "no such folder", empty: "no *.json files in it", file: "cannot be read as a folder"} {
-		if _, err := Folder(folder); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), mendFolder) {
-			t.Errorf("%s: %v", want, err)
-		}
-	}
-}
-
-func TestFiguresNoFileCanHold(t *testing.T) {
-	for _, v := range []float64{math.NaN(), math.Inf(1), -1} {
-		if checkNumber("here", v) == nil {
-			t.Error(v)
-		}
-	}
-}
-
 func TestDigits(t *testing.T) {
 	for v, want := range map[float64]string{0: "0", 1e-12: "0", 12345.678: "12350", 0.00123456: "0.001235", 40: "40", -2.5: "-2.5", 1e-5: "0.00001"} {
 		if got := digits(v); got != want {
--- /dev/null
+++ b/internal/rig/scale/members.go
@@ -0,0 +1,142 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"brasswell/internal/rig/hollow"
+)
+
+const (
+	// startEvery is between two starts of members over the whole run, unless all start at once.
+	startEvery = 10 * time.Millisecond
+	// askTime bounds one question to all hosts.
+	askTime = 15 * time.Second
+)
+
+// startAll starts all members: voters at once, the others one after another at each host.
+func (r *run) startAll(ctx context.Context, every time.Duration) error {
+	r.started = time.Now()
+	if err := r.start(ctx, r.plan.members[:Voters], 0); err != nil {
+		return err
+	}
+	var starting sync.WaitGroup
+	var serviceErr error
+	if real := r.plan.realMembers(); len(real) > 0 {
+		starting.Go(func() { serviceErr = r.startService(ctx, real) })
+	}
+	err := r.start(ctx, r.plan.hollowMembers(), every)
+	starting.Wait()
+	return errors.Join(err, serviceErr)
+}
+
+// startService starts the real proxies, with load.
+func (r *run) startService(ctx context.Context, members []*memberPlan) error {
+	if err := r.nowLiving(ctx, members); err != nil {
+		return err
+	}
+	if err := r.openService(ctx, members); err != nil {
+		return err
+	}
+	r.service.load(r.ctx)
+	return nil
+}
+
+// nowLiving notes that members are about to live, here and at all hosts.
+func (r *run) nowLiving(ctx context.Context, members []*memberPlan) error {
+	living := hollow.Living{}
+	r.mu.Lock()
+	for _, m := range members {
+		m.living = true
+		living.Up = append(living.Up, hollow.Boot{Name: m.name, Boot: m.boot})
+	}
+	r.expected = r.plan.digest()
+	r.mu.Unlock()
+	_, err := r.all(ctx, hollow.Request{Living: &living})
+	return err
+}
+
+// start starts members, one after another at each host.
+func (r *run) start(ctx context.Context, members []*memberPlan, every time.Duration) error {
+	if err := r.nowLiving(ctx, members); err != nil {
+		return err
+	}
+	return r.each(members, func(h *host, members []*memberPlan) error {
+		ask := hollow.Start{Every: every}
+		for _, m := range members {
+			folder := ""
+			if m.voter {
+				folder = filepath.Join(r.folder, m.name)
+			}
+			ask.Members = append(ask.Members, m.spec(folder))
+		}
+		_, err := h.call(ctx, hollow.Request{Start: &ask})
+		return err
+	})
+}
+
+// cut cuts a region off, or heals that.
+func (r *run) cut(ctx context.Context, c hollow.Cut) error {
+	_, err := r.all(ctx, hollow.Request{Cut: &c})
+	return err
+}
+
+// kill ends members at once, without a word to others.
+func (r *run) kill(ctx context.Context, members []*memberPlan) error {
+	living := hollow.Living{}
+	r.mu.Lock()
+	for _, m := range members {
+		m.living = false
+		living.Down = append(living.Down, m.name)
+	}
+	r.expected = r.plan.digest()
+	r.mu.Unlock()
+	if _, err := r.all(ctx, hollow.Request{Living: &living}); err != nil {
+		return err
+	}
+	return r.each(members, func(h *host, members []*memberPlan) error {
+		ask := hollow.Stop{}
+		for _, m := range members {
+			ask.Names = append(ask.Names, m.name)
+		}
+		_, err := h.call(ctx, hollow.Request{Stop: &ask})
+		return err
+	})
+}
+
+// each does something at every host that has some of the members, at one time.
+func (r *run) each(members []*memberPlan, do func(*host, []*memberPlan) error) error {
+	by := map[*host][]*memberPlan{}
+	for _, m := range members {
+		by[m.host] = append(by[m.host], m)
+	}
+	var doing sync.WaitGroup
+	errs := make(chan error, len(by))
+	for h, members := range by {
+		doing.Go(func() { errs <- do(h, members) })
+	}
+	doing.Wait()
+	close(errs)
+	var all []error
+	for err := range errs {
+		all = append(all, err)
+	}
+	return errors.Join(all...)
+}
+
+// all asks all hosts at one time.
+func (r *run) all(ctx context.Context, ask hollow.Request) ([]hollow.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	replies, errs := make([]hollow.Reply, len(r.hosts)), make([]error, len(r.hosts))
+	var asking sync.WaitGroup
+	for i, h := range r.hosts {
+		asking.Go(func() { replies[i], errs[i] = h.call(ctx, ask) })
+	}
+	own := r.observers.Answer(ctx, ask)
+	asking.Wait()
+	return append(replies, own), errors.Join(errs...)
+}
