Discovery tests: the connections of both services stand once

Cause: service and lineService had the same code for pipes that are dialled, served and ended, and four tests wrote the same answers by hand. Change: pipes has the connections; answerOf and serviceUnavailable are the answers. What is answered, and the order in which a service ends, are the same, byte for byte; no check changed.

--- a/internal/discovery/line_test.go
+++ b/internal/discovery/line_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -19,14 +18,13 @@
 // lineService is a discovery with a line: each call waits for its turn, and one that a proxy makes while another of its calls waits
 // takes the other's place away and begins at the end of the line.
 type lineService struct {
-	turn time.Duration // until a call that begins to wait is answered
+	pipes pipes
+	turn  time.Duration // until a call that begins to wait is answered
 
 	mu       sync.Mutex
 	calls    int
 	turned   int                // away, by a later call
 	waiting  context.CancelFunc // of the call that waits
-	open     []net.Conn
-	serves   sync.WaitGroup
 	over     context.Context
 	shutDown context.CancelFunc
 }
@@ -38,12 +36,7 @@
 }
 
 func (s *lineService) dial(context.Context, string, string) (net.Conn, error) {
-	near, far := net.Pipe()
-	s.mu.Lock()
-	s.open = append(s.open, far)
-	s.mu.Unlock()
-	s.serves.Go(func() { s.serve(far) })
-	return near, nil
+	return s.pipes.connect(s.serve), nil
 }
 
 func (s *lineService) serve(c net.Conn) {
@@ -60,10 +53,9 @@
 		s.waiting = cancel
 		s.mu.Unlock()
 		<-mine.Done()
-		text := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		text := serviceUnavailable
 		if mine.Err() == context.DeadlineExceeded {
-			body := list(2, false, host("a", "127.0.0.1:1", "draining"))
-			text = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			text = answerOf(list(2, false, host("a", "127.0.0.1:1", "draining")))
 		} else {
 			s.mu.Lock()
 			s.turned++
@@ -77,12 +69,8 @@
 
 func (s *lineService) close() {
 	s.shutDown()
-	s.mu.Lock()
-	for _, c := range s.open {
-		c.Close()
-	}
-	s.mu.Unlock()
-	s.serves.Wait()
+	s.pipes.disconnect()
+	s.pipes.serves.Wait()
 }
 
 // TestAPlaceInLineIsKept: discovery has moved and has so many callers that an answer takes as long as it lets anybody wait. The call that
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -55,6 +55,7 @@
 // service is discovery on pipes, so that a test may set its clock: what becomes of a call is said when it is dialled and
 // when it asks.
 type service struct {
+	pipes  pipes
 	mu     sync.Mutex
 	fate   func(call int) fault // by how many were made before
 	calls  int
@@ -62,9 +63,7 @@
 	turn   func(news bool) bool // waits until a call is worked on, and says no if that takes too long; nil for at once
 	change chan struct{}        // closed when the change is there
 	start  time.Time
-	open   []net.Conn
 	over   chan struct{} // closed at the end
-	serves sync.WaitGroup
 }
 
 func newService() *service {
@@ -80,13 +79,9 @@
 
 // close ends all connections, and waits for who served them.
 func (s *service) close() {
-	s.mu.Lock()
-	for _, c := range s.open {
-		c.Close()
-	}
-	s.mu.Unlock()
+	s.pipes.disconnect()
 	close(s.over)
-	s.serves.Wait()
+	s.pipes.serves.Wait()
 }
 
 var errRefusedDial = errors.New("connection refused")
@@ -107,12 +102,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	near, far := net.Pipe()
-	s.mu.Lock()
-	s.open = append(s.open, far)
-	s.mu.Unlock()
-	s.serves.Go(func() { s.serve(far) })
-	return near, nil
+	return s.pipes.connect(s.serve), nil
 }
 
 func (s *service) serve(c net.Conn) {
@@ -135,7 +125,7 @@
 		case resetAt:
 			return
 		case turned:
-			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			io.WriteString(c, serviceUnavailable)
 			continue
 		}
 		from, held := req.URL.Query().Get("from"), time.Duration(0)
@@ -159,10 +149,10 @@
 			s.hold(held, nil)
 		}
 		if s.turn != nil && !s.turn(strings.Contains(text, "dial")) {
-			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			io.WriteString(c, serviceUnavailable)
 			continue
 		}
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		answer := answerOf(text)
 		if f == cut {
 			answer = answer[:len(answer)-10]
 		}
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -19,12 +19,12 @@
 // that it has no room.
 var (
 	text    = list(7, true, host("a", "127.0.0.1:1", "up"))
-	whole   = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	whole   = answerOf(text)
 	half    = whole[:len(whole)-20]
 	noHead  = "HTTP/1"
-	noList  = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{\"s"
+	noList  = answerOf("{\"s")
 	none    = ""
-	refused = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	refused = serviceUnavailable
 )
 
 // scripted answers one call after another as told, each on a connection of its own, and then takes no more.
@@ -91,8 +91,7 @@
 
 // TestQuietWatchIsTold: an answer without news shows the balancer that discovery answers.
 func TestQuietWatchIsTold(t *testing.T) {
-	quiet := list(7, false)
-	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(quiet), quiet)
+	answer := answerOf(list(7, false))
 	address, _ := scripted(t, answer, refused)
 	var told []string
 	d := New(address, nil, DefaultOptions(), slog.New(slog.DiscardHandler),
