Hollow network: datagrams and streams share the look-up of their path

Cause: both methods of the sender found the place, locked the network and asked the faults of the path in the same lines. Change: send does that, and is told what to ask. Two copies of a datagram are compared by cmp.Compare, as a difference of two times that is made an int may be cut on a small machine. Measured: rig/hollow passes with -race, TestDelays and TestCut among it.

--- a/internal/rig/hollow/network.go
+++ b/internal/rig/hollow/network.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -146,22 +147,26 @@
 
 // Datagram implements link.Path.
 func (s *sender) Datagram(to netip.AddrPort, size int) (time.Duration, bool) {
-	n := s.network
-	at, ok := n.layout.PlaceOf(to.Addr())
-	if !ok {
-		return 0, true
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	copies := n.faults.Datagram(time.Since(n.began), n.path(s.from, at), size)
-	if len(copies) == 0 {
-		return 0, false
-	}
-	return slices.MinFunc(copies, func(a, b faults.Delivery) int { return int(a.After - b.After) }).After, true
+	return s.send(to, func(now time.Duration, path faults.Path) (time.Duration, bool) {
+		copies := s.network.faults.Datagram(now, path, size)
+		if len(copies) == 0 {
+			return 0, false
+		}
+		first := slices.MinFunc(copies, func(a, b faults.Delivery) int { return cmp.Compare(a.After, b.After) })
+		return first.After, true
+	})
 }
 
 // Stream implements link.Path.
 func (s *sender) Stream(to netip.AddrPort, size int) (time.Duration, bool) {
+	return s.send(to, func(now time.Duration, path faults.Path) (time.Duration, bool) {
+		return s.network.faults.Stream(now, path, size)
+	})
+}
+
+// send asks, with the network locked, what becomes of something that is sent now on the path to an address. What goes to one that is
+// none of the run's arrives at once.
+func (s *sender) send(to netip.AddrPort, outcome func(now time.Duration, path faults.Path) (time.Duration, bool)) (time.Duration, bool) {
 	n := s.network
 	at, ok := n.layout.PlaceOf(to.Addr())
 	if !ok {
@@ -169,7 +174,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.faults.Stream(time.Since(n.began), n.path(s.from, at), size)
+	return outcome(time.Since(n.began), n.path(s.from, at))
 }
 
 // Accepts implements link.Path: what real proxies send is not delayed or cut where they send it.
