Scale: names of the field for requests, samples and random numbers

Change: in hollow's protocol SampleRequest asks for a Sample, SpreadRequest and UsageRequest ask for theirs (before: Sample, Sampled, SpreadAsk, UsageAsk); MemberName names one (NameOf); the kind of change that replaces classes is Configure (Settle), also on the wire between a run and its hosts, which are one program. A run's source of random numbers is random (dice), its main part perform (whole), and the fit's cell of a whole number integer (whole). No file that is kept has any of these names. Measured: rig/hollow, rig/scale and all below it, and internal/cli pass with -race; TestScale* of internal/rig passes with -race (23 s).

--- a/internal/rig/hollow/host.go
+++ b/internal/rig/hollow/host.go
@@ -203,7 +203,7 @@
 	switch p.Kind {
 	case Ban:
 		c.Kind = rules.Suspend
-	case Settle:
+	case Configure:
 		c.Kind, c.Settings = rules.Configure, &rules.Settings{Classes: map[string]rules.Class{}, Quota: 1}
 		for _, name := range p.Classes {
 			c.Settings.Classes[name] = rules.Class{NoRepeat: true}
--- a/internal/rig/hollow/host_test.go
+++ b/internal/rig/hollow/host_test.go
@@ -85,7 +85,7 @@
 	observe("cut", 2, 1, learned{second(31), 1, 1})
 	h.cuts = []cutSpan{{region: 2, begin: second(5), end: second(30)}}
 
-	ask := SpreadAsk{Changes: []Change{{Version: 1, ProposedNS: second(10)}}}
+	ask := SpreadRequest{Changes: []Change{{Version: 1, ProposedNS: second(10)}}}
 	if got, want := h.Spread(ask)[0], (Spread{Version: 1, Members: 2, Known: 2, Acting: 1, KnownNS: second(11), ActingNS: second(12)}); got != want {
 		t.Errorf("%+v; want %+v", got, want)
 	}
@@ -93,7 +93,7 @@
 	if got, want := h.Spread(ask)[0], (Spread{Version: 1, Members: 1, Known: 1, Acting: 1, KnownNS: second(31), ActingNS: second(31)}); got != want {
 		t.Errorf("cut off: %+v; want %+v", got, want)
 	}
-	ask = SpreadAsk{Changes: []Change{{Version: 1, ProposedNS: second(30)}}, CutOff: true}
+	ask = SpreadRequest{Changes: []Change{{Version: 1, ProposedNS: second(30)}}, CutOff: true}
 	if got := h.Spread(ask)[0]; got.Members != 0 {
 		t.Errorf("proposed after the cut: %+v", got)
 	}
@@ -120,7 +120,7 @@
 		}
 		return reply
 	}
-	if r := ask(Request{ID: 1, Sample: &Sample{}}); !strings.Contains(r.Error, "not configured") {
+	if r := ask(Request{ID: 1, Sample: &SampleRequest{}}); !strings.Contains(r.Error, "not configured") {
 		t.Errorf("%+v", r)
 	}
 	f := testFleet()
@@ -143,7 +143,7 @@
 		t.Errorf("%+v", r)
 	}
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		r := ask(Request{ID: 7, Sample: &Sample{}})
+		r := ask(Request{ID: 7, Sample: &SampleRequest{}})
 		if r.Sample.Leased == 2 && r.Sample.Views[Digest("v", "m")] == 2 && r.Sample.Leader == "v" {
 			break
 		}
@@ -160,7 +160,7 @@
 	if r := ask(Request{ID: 10, Stop: &Stop{Names: []string{"m"}}}); !strings.Contains(r.Error, "does not run") {
 		t.Errorf("%+v", r)
 	}
-	if r := ask(Request{ID: 11, Document: &NameOf{"v"}}); r.Document == nil || r.Document.Bans != 1 {
+	if r := ask(Request{ID: 11, Document: &MemberName{"v"}}); r.Document == nil || r.Document.Bans != 1 {
 		t.Errorf("%+v, %s", r.Document, r.Error)
 	}
 	asks.Close()
--- a/internal/rig/hollow/protocol.go
+++ b/internal/rig/hollow/protocol.go
@@ -4,17 +4,17 @@
 
 // Request is what a host is asked by the process that started it: one JSON object a line. Just one part beside the ID is set.
 type Request struct {
-	ID        uint64     `json:"id"`
-	Configure *Fleet     `json:"configure,omitempty"` // once, before all others
-	Start     *Start     `json:"start,omitempty"`
-	Stop      *Stop      `json:"stop,omitempty"`
-	Living    *Living    `json:"living,omitempty"`
-	Cut       *Cut       `json:"cut,omitempty"`
-	Propose   *Propose   `json:"propose,omitempty"`
-	Sample    *Sample    `json:"sample,omitempty"`
-	Spread    *SpreadAsk `json:"spread,omitempty"`
-	Usage     *UsageAsk  `json:"usage,omitempty"`
-	Document  *NameOf    `json:"document,omitempty"`
+	ID        uint64         `json:"id"`
+	Configure *Fleet         `json:"configure,omitempty"` // once, before all others
+	Start     *Start         `json:"start,omitempty"`
+	Stop      *Stop          `json:"stop,omitempty"`
+	Living    *Living        `json:"living,omitempty"`
+	Cut       *Cut           `json:"cut,omitempty"`
+	Propose   *Propose       `json:"propose,omitempty"`
+	Sample    *SampleRequest `json:"sample,omitempty"`
+	Spread    *SpreadRequest `json:"spread,omitempty"`
+	Usage     *UsageRequest  `json:"usage,omitempty"`
+	Document  *MemberName    `json:"document,omitempty"`
 }
 
 // Reply is a host's answer to the request with its ID. Error is set where that could not be done.
@@ -22,7 +22,7 @@
 	ID       uint64    `json:"id"`
 	Error    string    `json:"error,omitempty"`
 	Proposal *Proposal `json:"proposal,omitempty"`
-	Sample   *Sampled  `json:"sample,omitempty"`
+	Sample   *Sample   `json:"sample,omitempty"`
 	Spread   []Spread  `json:"spread,omitempty"`
 	Usage    *Usage    `json:"usage,omitempty"`
 	Document *Document `json:"document,omitempty"`
@@ -83,8 +83,8 @@
 
 // The kinds of changes.
 const (
-	Ban    ChangeKind = "ban"    // takes a backend out
-	Settle ChangeKind = "settle" // replaces the classes' settings
+	Ban       ChangeKind = "ban"       // takes a backend out
+	Configure ChangeKind = "configure" // replaces the classes' settings
 )
 
 // Propose has a member propose a change.
@@ -103,11 +103,11 @@
 	No         string `json:"no,omitempty"`
 }
 
-// Sample asks how a host's members stand.
-type Sample struct{}
+// SampleRequest asks how a host's members stand.
+type SampleRequest struct{}
 
-// Sampled is how a host's members stand. Counts go up from the host's start, with those of members that are stopped.
-type Sampled struct {
+// Sample is how a host's members stand. Counts go up from the host's start, with those of members that are stopped.
+type Sample struct {
 	Living        int            `json:"living"`
 	Leased        int            `json:"leased"`
 	Joined        int            `json:"joined"`          // living ones that have had a lease since their start
@@ -131,10 +131,10 @@
 	ProposedNS int64  `json:"proposed_ns"`
 }
 
-// SpreadAsk asks for how changes have spread among the members that have been there since before the proposal: that have had a
+// SpreadRequest asks for how changes have spread among the members that have been there since before the proposal: that have had a
 // lease in this start. CutOff asks for those members that were cut off when it was proposed or before they acted on it; otherwise
 // for the rest.
-type SpreadAsk struct {
+type SpreadRequest struct {
 	Changes []Change `json:"changes"`
 	CutOff  bool     `json:"cut_off,omitempty"`
 }
@@ -149,8 +149,8 @@
 	ActingNS int64  `json:"acting_ns"` // when the last acted on it alone
 }
 
-// UsageAsk asks for what the process and each member have used.
-type UsageAsk struct{}
+// UsageRequest asks for what the process and each member have used.
+type UsageRequest struct{}
 
 // Usage is what a host has used since its start.
 type Usage struct {
@@ -171,8 +171,8 @@
 	Dropped       int64  `json:"dropped"`
 }
 
-// NameOf names a member.
-type NameOf struct {
+// MemberName names a member.
+type MemberName struct {
 	Name string `json:"name"`
 }
 
--- a/internal/rig/hollow/sample.go
+++ b/internal/rig/hollow/sample.go
@@ -8,8 +8,8 @@
 )
 
 // Sample is how the members stand.
-func (h *Host) Sample() *Sampled {
-	s := &Sampled{Views: map[uint64]int{}, MemoryB: procfs.ResidentMemory(os.Getpid())}
+func (h *Host) Sample() *Sample {
+	s := &Sample{Views: map[uint64]int{}, MemoryB: procfs.ResidentMemory(os.Getpid())}
 	for i, m := range h.all() {
 		m.mu.Lock()
 		m.sample(s, i == 0)
@@ -22,7 +22,7 @@
 }
 
 // sample adds a member to a sample. Its lock is held.
-func (m *member) sample(s *Sampled, first bool) {
+func (m *member) sample(s *Sample, first bool) {
 	s.Living++
 	if m.leased {
 		s.Leased++
@@ -48,7 +48,7 @@
 }
 
 // Spread is how changes have spread.
-func (h *Host) Spread(ask SpreadAsk) []Spread {
+func (h *Host) Spread(ask SpreadRequest) []Spread {
 	members := h.all()
 	h.mu.Lock()
 	cuts := slices.Clone(h.cuts)
--- a/internal/rig/scale/calls/drive.go
+++ b/internal/rig/scale/calls/drive.go
@@ -51,7 +51,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: mostOpen, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: giveUp}
-	dice := rand.New(rand.NewPCG(l.seed, uint64(l.rate)))
+	random := rand.New(rand.NewPCG(l.seed, uint64(l.rate)))
 	start := time.Now()
 	r := &recorder{
 		latency: hdrhistogram.New(leastLatency, mostLatency, latencyDigits), late: hdrhistogram.New(leastLatency, mostLatency, latencyDigits),
@@ -61,7 +61,7 @@
 	end := start.Add(warmUp + l.length)
 	next := start
 	for n := 0; ; n++ {
-		next = next.Add(time.Duration(dice.ExpFloat64() / l.rate * float64(time.Second)))
+		next = next.Add(time.Duration(random.ExpFloat64() / l.rate * float64(time.Second)))
 		if !next.Before(end) || !sleepUntil(ctx, next) {
 			break
 		}
--- a/internal/rig/scale/changes.go
+++ b/internal/rig/scale/changes.go
@@ -94,7 +94,7 @@
 			can = append(can, m)
 		}
 	}
-	return can[r.dice.IntN(len(can))]
+	return can[r.random.IntN(len(can))]
 }
 
 // backend is the id of a backend that no proxy has.
@@ -137,7 +137,7 @@
 }
 
 // spread asks all hosts how changes have spread.
-func (r *run) spread(ctx context.Context, ask hollow.SpreadAsk) ([]hollow.Spread, error) {
+func (r *run) spread(ctx context.Context, ask hollow.SpreadRequest) ([]hollow.Spread, error) {
 	replies, err := r.all(ctx, hollow.Request{Spread: &ask})
 	if err != nil {
 		return nil, err
@@ -158,7 +158,7 @@
 
 // awaitInForce waits until all agreed changes of a phase are in force at all members that can be reached, for so long at most.
 func (r *run) awaitInForce(ctx context.Context, p *phase, within time.Duration) bool {
-	ask := hollow.SpreadAsk{Changes: p.agreed()}
+	ask := hollow.SpreadRequest{Changes: p.agreed()}
 	for end := time.Now().Add(within); ; {
 		spreads, err := r.spread(ctx, ask)
 		late := func(s hollow.Spread) bool { return s.Acting < s.Members }
@@ -174,7 +174,7 @@
 
 // phaseResult is what a phase has come to by now.
 func (r *run) phaseResult(ctx context.Context, p *phase) (result.Phase, error) {
-	ask := hollow.SpreadAsk{Changes: p.agreed()}
+	ask := hollow.SpreadRequest{Changes: p.agreed()}
 	one := result.Phase{Name: p.name, Proposed: len(p.changes), Agreed: len(ask.Changes)}
 	spreads, err := r.spread(ctx, ask)
 	if err != nil {
@@ -201,7 +201,7 @@
 
 // healedResult adds to a phase how its changes have reached the members that were cut off.
 func (r *run) healedResult(ctx context.Context, p *phase, one *result.Phase) error {
-	spreads, err := r.spread(ctx, hollow.SpreadAsk{Changes: p.agreed(), CutOff: true})
+	spreads, err := r.spread(ctx, hollow.SpreadRequest{Changes: p.agreed(), CutOff: true})
 	if err != nil {
 		return err
 	}
--- a/internal/rig/scale/document.go
+++ b/internal/rig/scale/document.go
@@ -27,7 +27,7 @@
 		for i := range r.config.Classes {
 			classes = append(classes, fmt.Sprintf("class-%d", i))
 		}
-		if !r.agree(ctx, hollow.Propose{Kind: hollow.Settle, Classes: classes}) {
+		if !r.agree(ctx, hollow.Propose{Kind: hollow.Configure, Classes: classes}) {
 			r.trouble("the settings of %d classes were not agreed", len(classes))
 		}
 	}
@@ -82,7 +82,7 @@
 // document is the size of the document at the first voter; nil where that is not known.
 func (r *run) document(ctx context.Context) *hollow.Document {
 	first := r.plan.members[0]
-	reply, err := first.host.call(ctx, hollow.Request{Document: &hollow.NameOf{Name: first.name}})
+	reply, err := first.host.call(ctx, hollow.Request{Document: &hollow.MemberName{Name: first.name}})
 	if err != nil {
 		return nil
 	}
--- a/internal/rig/scale/events.go
+++ b/internal/rig/scale/events.go
@@ -171,7 +171,7 @@
 func (r *run) restart(ctx context.Context, members []*memberPlan) error {
 	r.mu.Lock()
 	for _, m := range members {
-		m.boot = drawBoot(r.dice)
+		m.boot = drawBoot(r.random)
 	}
 	r.mu.Unlock()
 	return r.start(ctx, members, 0)
@@ -182,7 +182,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	members := r.plan.sharedMembers()
-	r.dice.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	r.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	return members[:max(1, min(most, len(members)/2))]
 }
 
--- a/internal/rig/scale/fit/calls.go
+++ b/internal/rig/scale/fit/calls.go
@@ -86,7 +86,7 @@
 		"Added at the 99th (ms)", "Range (ms)", "Processor time a call and proxy (µs)", "Sent late, 99th (ms)", "Load before", "Remarks", "File")
 	for _, r := range rows {
 		s := r.Summary
-		t.row(whole(r.Depth), digits(r.Rate), whole(r.Pairs), digits(r.LengthS), digits(s.Direct.Median), digits(s.Direct.P99), digits(s.Proxied.Median),
+		t.row(integer(r.Depth), digits(r.Rate), integer(r.Pairs), digits(r.LengthS), digits(s.Direct.Median), digits(s.Direct.P99), digits(s.Proxied.Median),
 			digits(s.Proxied.P99), digits(s.Added), digits(s.AddedLeast)+" to "+digits(s.AddedMost), digits(s.CPUUS), digits(s.LateP99MS),
 			fmt.Sprintf("%s of %d", digits(r.LoadBefore), r.Cores), joined(r.Remarks), r.File)
 	}
--- a/internal/rig/scale/fit/events.go
+++ b/internal/rig/scale/fit/events.go
@@ -48,8 +48,8 @@
 	t := newTable("Members", "Event", "Round trip (ms)", "Changes proposed, agreed, never in force", "In force, median, 99th, worst (s)", "In force after the cut (s)",
 		"Leases lost", "False deaths", "Views right after (s)", "Views wrong at the end", "Requests asked", "Served", "Share (%)", "Remarks", "File")
 	for _, r := range rows {
-		cells := []string{whole(r.Members), r.Event, digits(r.RTTMS), r.counts(), r.inForce(), r.healed(), whole(r.LeasesLost), whole(r.FalseDeaths),
-			r.viewsRight(), whole(r.Views.Wrong)}
+		cells := []string{integer(r.Members), r.Event, digits(r.RTTMS), r.counts(), r.inForce(), r.healed(), integer(r.LeasesLost), integer(r.FalseDeaths),
+			r.viewsRight(), integer(r.Views.Wrong)}
 		cells = append(cells, serviceCells(r.Service)...)
 		t.row(append(cells, joined(r.Remarks), r.File)...)
 	}
--- a/internal/rig/scale/fit/events_test.go
+++ b/internal/rig/scale/fit/events_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	folder := t.TempDir()
 	for _, members := range []int{60, 250, 1000, 1400} {
-		write(t, folder, "machine-"+whole(members)+".json", withService("machine", members))
+		write(t, folder, "machine-"+integer(members)+".json", withService("machine", members))
 	}
 	write(t, folder, "region.json", regionRun())
 	dead, returned := 20.5, 8.0
--- a/internal/rig/scale/fit/markdown.go
+++ b/internal/rig/scale/fit/markdown.go
@@ -71,9 +71,9 @@
 	t := newTable("Members", "Event", "Round trip (ms)", "Lease (s)", "Period (ms)", "Bans", "Classes", "Numbers", "Document (bytes)", "Voters", "Regions", "Length (s)",
 		"Load (cores)", "False deaths", "Leases lost", "Use", "File")
 	for _, r := range runs {
-		t.row(whole(r.Members), r.Series.Event, digits(r.Series.RTTMS), digits(r.Series.LeaseS), digits(r.Series.PeriodMS), whole(r.Series.Bans),
-			whole(r.Series.Classes), whole(r.Numbers), whole(r.DocumentB), whole(r.Voters), whole(r.Regions), digits(r.LengthS), fmt.Sprintf("%s of %d", digits(r.Load), r.Cores),
-			whole(r.FalseDeaths), whole(r.LeasesLost), r.Used, r.File)
+		t.row(integer(r.Members), r.Series.Event, digits(r.Series.RTTMS), digits(r.Series.LeaseS), digits(r.Series.PeriodMS), integer(r.Series.Bans),
+			integer(r.Series.Classes), integer(r.Numbers), integer(r.DocumentB), integer(r.Voters), integer(r.Regions), digits(r.LengthS), fmt.Sprintf("%s of %d", digits(r.Load), r.Cores),
+			integer(r.FalseDeaths), integer(r.LeasesLost), r.Used, r.File)
 	}
 	return t.String()
 }
@@ -206,7 +206,7 @@
 
 func joined(remarks []string) string { return strings.Join(remarks, "; ") }
 
-func whole(n int) string { return strconv.Itoa(n) }
+func integer(n int) string { return strconv.Itoa(n) }
 
 // table is a Markdown table under construction.
 type table struct{ text strings.Builder }
--- a/internal/rig/scale/plan.go
+++ b/internal/rig/scale/plan.go
@@ -31,7 +31,7 @@
 
 // newPlan places all members: voters over the regions, as 2, 2 and 1 over three; real proxies in the first region; hollow members
 // over all zones.
-func newPlan(c *Config, base int, dice *rand.Rand) *plan {
+func newPlan(c *Config, base int, random *rand.Rand) *plan {
 	p := &plan{layout: hollow.Layout{Base: base, Zones: c.Zones, Regions: c.Regions, RTT: c.RTT}}
 	taken := map[hollow.Place]int{}
 	add := func(place hollow.Place, voter bool) {
@@ -39,7 +39,7 @@
 		m.address = p.layout.Address(place, taken[place])
 		taken[place]++
 		if !place.Real {
-			m.boot = drawBoot(dice)
+			m.boot = drawBoot(random)
 		}
 		p.members = append(p.members, m)
 	}
@@ -156,4 +156,4 @@
 }
 
 // drawBoot draws the boot of one start of a member; 0 stands for none.
-func drawBoot(dice *rand.Rand) uint64 { return dice.Uint64() | 1 }
+func drawBoot(random *rand.Rand) uint64 { return random.Uint64() | 1 }
--- a/internal/rig/scale/plan_test.go
+++ b/internal/rig/scale/plan_test.go
@@ -55,8 +55,8 @@
 func TestEventsSpareTheSoloMember(t *testing.T) {
 	config := DefaultConfig()
 	config.Zones = 3 // so that racks are in its zone
-	dice := rand.New(rand.NewPCG(1, 1))
-	r := &run{config: config, plan: newPlan(&config, 64, dice), dice: dice}
+	random := rand.New(rand.NewPCG(1, 1))
+	r := &run{config: config, plan: newPlan(&config, 64, random), random: random}
 	for range 200 {
 		for _, m := range append(r.drawHollow(restarts), r.drawRack()...) {
 			if m == r.plan.solo {
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -58,7 +58,7 @@
 	measured  time.Time // when the measured part began
 
 	mu       sync.Mutex
-	dice     *rand.Rand
+	random   *rand.Rand
 	phases   []*phase
 	troubles []string
 	now      standing      // the newest sample
@@ -79,7 +79,7 @@
 	if err := c.Validate(); err != nil {
 		return nil, err
 	}
-	r := &run{config: c, sampled: make(chan struct{}), leastShare: 1, dice: rand.New(rand.NewPCG(c.Seed, 0x5ca1e))}
+	r := &run{config: c, sampled: make(chan struct{}), leastShare: 1, random: rand.New(rand.NewPCG(c.Seed, 0x5ca1e))}
 	r.ctx, r.stop = context.WithCancelCause(ctx)
 	defer r.stop(nil)
 	if err := r.prepare(); err != nil {
@@ -89,11 +89,11 @@
 	if err := r.openHosts(); err != nil {
 		return nil, err
 	}
-	return r.whole(ctx)
+	return r.perform(ctx)
 }
 
-// whole does the run on hosts that are ready.
-func (r *run) whole(interrupt context.Context) (*result.Run, error) {
+// perform does the run on hosts that are ready.
+func (r *run) perform(interrupt context.Context) (*result.Run, error) {
 	sampling, endSampling := context.WithCancel(context.WithoutCancel(r.ctx))
 	var beside sync.WaitGroup
 	defer beside.Wait()
--- a/internal/rig/scale/sampling.go
+++ b/internal/rig/scale/sampling.go
@@ -19,7 +19,7 @@
 func (r *run) sample(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait(ctx, sampleEvery)
-		replies, err := r.all(ctx, hollow.Request{Sample: &hollow.Sample{}})
+		replies, err := r.all(ctx, hollow.Request{Sample: &hollow.SampleRequest{}})
 		if err != nil {
 			if ctx.Err() == nil {
 				r.trouble("a sample failed: %v", err)
--- a/internal/rig/scale/scale_test.go
+++ b/internal/rig/scale/scale_test.go
@@ -95,7 +95,7 @@
 func TestTakenAddress(t *testing.T) {
 	config := DefaultConfig()
 	config.Folder = t.TempDir()
-	first := &run{config: config, dice: rand.New(rand.NewPCG(1, 1))}
+	first := &run{config: config, random: rand.New(rand.NewPCG(1, 1))}
 	if err := first.place(); err != nil { // addresses that no other run of this machine has
 		t.Fatal(err)
 	}
@@ -119,11 +119,11 @@
 func TestTwoRunsTakeOtherAddresses(t *testing.T) {
 	config := DefaultConfig()
 	config.Members = 6
-	first := &run{config: config, dice: rand.New(rand.NewPCG(1, 1))}
+	first := &run{config: config, random: rand.New(rand.NewPCG(1, 1))}
 	if err := first.place(); err != nil {
 		t.Fatal(err)
 	}
-	second := &run{config: config, dice: rand.New(rand.NewPCG(1, 1))}
+	second := &run{config: config, random: rand.New(rand.NewPCG(1, 1))}
 	overlapping := min(first.plan.layout.Base+config.Zones-1, highestBase+1-config.Zones)
 	if err := second.placeAt(overlapping); err == nil || !strings.Contains(err.Error(), "another run") {
 		t.Errorf("%v", err)
--- a/internal/rig/scale/setup.go
+++ b/internal/rig/scale/setup.go
@@ -49,7 +49,7 @@
 }
 
 func (r *run) placeAt(base int) error {
-	r.plan = newPlan(&r.config, base, r.dice)
+	r.plan = newPlan(&r.config, base, r.random)
 	release, err := claim(r.plan.layout)
 	if err != nil {
 		return err
--- a/internal/rig/scale/standing.go
+++ b/internal/rig/scale/standing.go
@@ -9,11 +9,11 @@
 
 // standing is how all members of a run stand, put together from their hosts' samples.
 type standing struct {
-	hollow.Sampled
+	hollow.Sample
 }
 
 // add puts one host's sample to it.
-func (s *standing) add(o *hollow.Sampled) {
+func (s *standing) add(o *hollow.Sample) {
 	if o.Living > 0 && (s.Living == 0 || o.LowVersion < s.LowVersion) {
 		s.LowVersion = o.LowVersion
 	}
--- a/internal/rig/scale/usage.go
+++ b/internal/rig/scale/usage.go
@@ -14,24 +14,24 @@
 
 // usage is what all hosts have used by a moment, each at its place among the run's.
 type usage struct {
-	at    time.Time
-	hosts []*hollow.Usage // nil of a host that did not answer
-	real  []*hollow.Usage
-	audit audit.Report // of the service
-	lost  int
-	false int
+	at          time.Time
+	hosts       []*hollow.Usage // nil of a host that did not answer
+	real        []*hollow.Usage
+	audit       audit.Report // of the service
+	leasesLost  int
+	falseDeaths int
 }
 
 // usageNow asks all hosts what they have used.
 func (r *run) usageNow() *usage {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), finishTime)
 	defer cancel()
-	replies, err := r.all(ctx, hollow.Request{Usage: &hollow.UsageAsk{}})
+	replies, err := r.all(ctx, hollow.Request{Usage: &hollow.UsageRequest{}})
 	if err != nil {
 		r.trouble("what was used is not known of all: %v", err)
 	}
 	now, _, _ := r.standing()
-	u := &usage{at: time.Now(), lost: now.Lost, false: now.FalseDeaths}
+	u := &usage{at: time.Now(), leasesLost: now.Lost, falseDeaths: now.FalseDeaths}
 	for _, reply := range replies[:len(r.hosts)] {
 		u.hosts = append(u.hosts, reply.Usage)
 	}
@@ -84,7 +84,7 @@
 		r.trouble("%d members live at the end, and %d should", now.Living, living)
 	}
 	if before != nil {
-		out.Views.FalseDeaths, out.Leases.LostAwake = now.FalseDeaths-before.false, now.Lost-before.lost
+		out.Views.FalseDeaths, out.Leases.LostAwake = now.FalseDeaths-before.falseDeaths, now.Lost-before.leasesLost
 	}
 	if before != nil && after != nil {
 		r.roles(out, before, after)
