--- a/internal/cluster/agreement/node_test.go
+++ b/internal/cluster/agreement/node_test.go
@@ -175,3 +175,80 @@
 		t.Errorf("%q; wanted %q", c.seen, want)
 	}
 }
+
+// TestWhatWaitsIsTakenTogether: messages that wait are taken in in their order, so many at one time at most.
+func TestWhatWaitsIsTakenTogether(t *testing.T) {
+	const more = 7
+	n := &Node{messages: make(chan *accord.Message, mostWaiting)}
+	for i := range mostTogether + more {
+		n.messages <- &accord.Message{Seq: uint64(i)}
+	}
+	next := uint64(0)
+	for _, want := range []int{mostTogether, more} {
+		together := n.waiting(<-n.messages)
+		if len(together) != want {
+			t.Errorf("%d messages together; wanted %d", len(together), want)
+		}
+		for _, m := range together {
+			if m.Seq != next {
+				t.Fatalf("message %d came as %d", next, m.Seq)
+			}
+			next++
+		}
+	}
+}
+
+// TestProposalsThatWaitTogether: changes that are proposed while the leader's goroutine has other work go out to the others in a few
+// steps, and not in one each.
+func TestProposalsThatWaitTogether(t *testing.T) {
+	const changes = 12
+	w := &wire{nodes: map[string]func([]byte){}}
+	nodes := map[string]*Node{}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		nodes[name] = w.open(t, name, t.TempDir())
+	}
+	for name, n := range nodes {
+		until(t, name+" with a lease", func() bool { return n.Mode() == accord.Leased && n.Basis().Version == 1 })
+	}
+	var leader *Node
+	until(t, "led by one that three vote for", func() bool {
+		for _, n := range nodes {
+			if r, err := n.Report(t.Context()); err == nil && r.Leads && len(r.Keepers) == 3 {
+				leader = n
+			}
+		}
+		return leader != nil
+	})
+	var mu sync.Mutex
+	known := map[uint64]bool{} // the newest versions that d has known
+	nodes["d"].Follow(func(b *accord.Basis) {
+		mu.Lock()
+		defer mu.Unlock()
+		known[b.Last] = true
+	})
+
+	release, held := make(chan struct{}), make(chan struct{})
+	go leader.ask(leader.ctx, func(*accord.Core, time.Duration) { close(held); <-release })
+	<-held
+	var proposing sync.WaitGroup
+	for i := range changes {
+		proposing.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			c := rules.Change{ID: fmt.Sprint("ban-", i), Kind: rules.Suspend, Server: fmt.Sprint("node-", i)}
+			if a, err := nodes["d"].Propose(ctx, c); err != nil || a.No != "" {
+				t.Errorf("change %d: %q, %v", i, a.No, err)
+			}
+		})
+	}
+	until(t, "waiting before the leader", func() bool { return len(leader.messages) >= changes })
+	close(release)
+	proposing.Wait()
+	until(t, "known", func() bool { return nodes["d"].Basis().Last == changes+1 })
+	mu.Lock()
+	defer mu.Unlock()
+	t.Logf("d knew %d versions in %d steps", changes+1, len(known))
+	if len(known) > changes/2 {
+		t.Errorf("%d changes became known in %d steps", changes, len(known))
+	}
+}
