--- a/internal/cluster/agreement/node.go
+++ b/internal/cluster/agreement/node.go
@@ -73,7 +73,8 @@
 	// messages are those from other proxies, as they came.
 	messages chan *accord.Message
 	events   chan event
-	asks     chan event // from this process's own, never dropped
+	asks     chan event   // from this process's own, never dropped
+	late     atomic.Int64 // messages that found the owner's line full
 	basis    atomic.Pointer[accord.Basis]
 	// leaving: this process hands over to another of its proxy, and acts until its end on what it knows.
 	leaving   atomic.Bool
@@ -232,6 +233,9 @@
 	}
 }
 
+// Late is how many messages were dropped since the start, as too many stood before the owner.
+func (n *Node) Late() int64 { return n.late.Load() }
+
 // waiting is a message with those that wait behind it, as many as are taken in together.
 func (n *Node) waiting(first *accord.Message) []*accord.Message {
 	together := []*accord.Message{first}
@@ -318,6 +322,7 @@
 	select {
 	case n.messages <- m:
 	default:
+		n.late.Add(1)
 	}
 }
 
--- a/internal/cluster/agreement/node_test.go
+++ b/internal/cluster/agreement/node_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -252,3 +253,22 @@
 		t.Errorf("%d changes became known in %d steps", changes, len(known))
 	}
 }
+
+// TestWhatFindsNoRoomIsCounted: a message beyond those that may wait is dropped, and told among the figures.
+func TestWhatFindsNoRoomIsCounted(t *testing.T) {
+	n := &Node{messages: make(chan *accord.Message, 1)}
+	n.basis.Store(&accord.Basis{})
+	body, err := (&accord.Message{Kind: accord.Renew, From: "a"}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		n.parcel(body)
+	}
+	if n.Late() != 2 || len(n.messages) != 1 {
+		t.Errorf("%d were dropped, %d wait", n.Late(), len(n.messages))
+	}
+	if text := string(n.Figures(nil)); !strings.Contains(text, "rules_late:2|c") {
+		t.Errorf("figures: %q", text)
+	}
+}
--- a/internal/cluster/agreement/report.go
+++ b/internal/cluster/agreement/report.go
@@ -108,7 +108,8 @@
 	b := n.basis.Load()
 	text = figures.AppendLine(text, "rules_version", int64(b.Version), 'g')
 	text = figures.AppendLine(text, "rules_pending", int64(b.Last-b.Version), 'g')
-	return figures.AppendLine(text, "rules_mode", int64(n.Mode()), 'g')
+	text = figures.AppendLine(text, "rules_mode", int64(n.Mode()), 'g')
+	return figures.AppendLine(text, "rules_late", n.Late(), 'c')
 }
 
 // ReadReport reads a report as a console writes it.
--- a/internal/rig/hollow/member.go
+++ b/internal/rig/hollow/member.go
@@ -65,6 +65,6 @@
 	defer m.mu.Unlock()
 	return MemberUsage{
 		Name: m.spec.Name, Boot: m.spec.Boot, Leads: m.leads, Sent: c.Sent, SentBytes: c.SentBytes, Received: c.Received,
-		ReceivedBytes: c.ReceivedBytes, Dropped: c.Flood + c.Unsent + late,
+		ReceivedBytes: c.ReceivedBytes, Dropped: c.Flood + c.Unsent + late + m.rules.Late(),
 	}
 }
