--- a/internal/cluster/accord/model/model.go
+++ b/internal/cluster/accord/model/model.go
@@ -470,13 +470,21 @@
 	case f.now < p.busy:
 	default:
 		f.takeIn(p)
-		if f.local(p) >= p.core.Next() {
-			p.core.Wake(f.local(p))
-		}
-		f.after(p)
+		f.wake(p)
 	}
 }
 
+// wake has a process do what is due, unless it has died or writes.
+func (f *Fleet) wake(p *process) {
+	if !p.up || f.now < p.busy {
+		return
+	}
+	if f.local(p) >= p.core.Next() {
+		p.core.Wake(f.local(p))
+	}
+	f.after(p)
+}
+
 // takeIn has a process that does not write take in what has arrived.
 func (f *Fleet) takeIn(p *process) {
 	if len(p.arrived) == 0 || f.now < p.busy {
