--- a/internal/cluster/accord/model/model_test.go
+++ b/internal/cluster/accord/model/model_test.go
@@ -225,7 +225,7 @@
 		"no wait":        {set: func(s *accord.Settings) { s.NoWait = true }},
 		"no confirm":     {set: func(s *accord.Settings) { s.NoConfirm = true }},
 		"no digest":      {set: func(s *accord.Settings) { s.NoDigest = true }, corrupt: 0.5},
-		"no enforcing":   {set: func(s *accord.Settings) { s.NoEnforcing, s.MostShort = true, 1 }, first: 88},
+		"no enforcing":   {set: func(s *accord.Settings) { s.NoEnforcing, s.MostShort = true, 1 }, first: 147},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := defence.first; seed < defence.first+400; seed++ {
