A connection closed at rest has nothing read: read and note are one step

Cause, found by reading: callers.Conn.Read read from the socket first and took the set's lock then. Between the two the set could end the connection for its rest (once_idle at each newcomer, room, the end): the request had been read, Read gave ErrClosed, and the close left no unread bytes that would have told the caller by a reset. Nobody answered it, nobody sent it again: no attempt made.

Change: where no request is open, the read runs under the set's lock, so that what crosses the close stays unread. Connections that were ended are closed once the lock is let go of: a close waits for a read that may wait for the lock. Ruled out on the way: the close under the lock stands still (internal/proxy hung on it, as a trial).

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -45,7 +45,8 @@
 
 	parking *Parking // nil where none is parked; set before the first connection
 
-	shut      bool // no connection is taken in, and nothing more is read
+	ended     []net.Conn // to be closed once mu is let go of: a close waits for a read that may wait for mu
+	shut      bool       // no connection is taken in, and nothing more is read
 	lingering int
 	lingers   sync.WaitGroup
 }
@@ -116,7 +117,7 @@
 // admit takes a new connection in, or nil if there is no place for it.
 func (c *Set) admit(conn net.Conn) *Conn {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	now := time.Now()
 	c.endFirst([]kind{parkedOnce, once}, mostAtOnce, func(k *Conn) bool { return now.Sub(k.since) >= c.onceIdle })
 	if c.shut || len(c.open) >= c.soft && !c.makeRoom(now) && len(c.open) >= c.hard {
@@ -167,8 +168,18 @@
 	}
 }
 
-// end closes a connection on which no request is open; c.mu must be held. What the caller may have sent
-// meanwhile has not been read, so it may be sent again.
+// unlock lets go of c.mu, and closes the connections that were ended while it was held.
+func (c *Set) unlock() {
+	ended := c.ended
+	c.ended = nil
+	c.mu.Unlock()
+	for _, conn := range ended {
+		conn.Close()
+	}
+}
+
+// end ends a connection on which no request is open; c.mu must be held, and unlock closes the connection. What the caller may have
+// sent meanwhile has not been read, so it may be sent again.
 func (c *Set) end(k *Conn) {
 	k.ended = true
 	c.forget(k)
@@ -176,7 +187,7 @@
 		k.lot.Drop(k.key)
 		return
 	}
-	k.Conn.Close()
+	c.ended = append(c.ended, k.Conn)
 }
 
 func (c *Set) forget(k *Conn) {
@@ -236,7 +247,7 @@
 		c.mu.Lock()
 		ended := c.endFirst([]kind{silent, once, idling, parkedOnce, parkedIdle}, mostAtOnce, func(k *Conn) bool { return now.Sub(k.since) >= quiet })
 		others = len(c.open)
-		c.mu.Unlock()
+		c.unlock()
 		if ended < mostAtOnce {
 			return others
 		}
@@ -247,7 +258,7 @@
 // being handed on: nothing more is read, so callers may send what they get no answer for again. It counts the others.
 func (c *Set) Shut() (busy int) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	c.shut = true
 	c.endFirst([]kind{silent, once, idling, partial, parkedOnce, parkedIdle}, len(c.open), func(*Conn) bool { return true })
 	return len(c.open)
@@ -274,22 +285,6 @@
 // must not be taken for one that the caller may send again.
 func (k *Conn) Read(b []byte) (int, error) {
 	n, err := k.read(b)
-	if n == 0 {
-		return n, err
-	}
-	k.set.mu.Lock()
-	ended := k.ended
-	if !ended && k.kind != busy {
-		k.set.become(k, partial, time.Now())
-	}
-	if k.breaking { // too late: something has come
-		k.breaking = false
-		k.Conn.SetReadDeadline(time.Now().Add(k.set.parking.pace.Timeout))
-	}
-	k.set.mu.Unlock()
-	if ended {
-		return 0, net.ErrClosed
-	}
 	k.framing.Feed(b[:n])
 	return n, err
 }
@@ -303,12 +298,14 @@
 	if len(k.ahead) > 0 {
 		n := copy(b, k.ahead)
 		k.ahead = k.ahead[n:]
-		return n, nil
+		k.set.mu.Lock()
+		defer k.set.mu.Unlock()
+		return k.note(n, nil)
 	}
 	if k.flooded {
 		return 0, io.EOF
 	}
-	n, err := k.Conn.Read(b)
+	n, err := k.readSocket(b)
 	if n != 1 || len(b) != 1 || err != nil || !k.serving() {
 		return n, err
 	}
@@ -321,6 +318,89 @@
 	return n, nil
 }
 
+// readSocket reads from the socket. A connection with a request open is closed by nobody else meanwhile, so it needs no lock.
+func (k *Conn) readSocket(b []byte) (int, error) {
+	if k.raw == nil || k.busy() {
+		n, err := k.Conn.Read(b)
+		if n == 0 {
+			return 0, err
+		}
+		k.set.mu.Lock()
+		defer k.set.mu.Unlock()
+		return k.note(n, err)
+	}
+	return k.readAtRest(b)
+}
+
+// readAtRest reads from the socket of a connection on which no request is open. The read and the note of it are one step under the
+// set's lock: what comes as the connection is closed for room stays unread, and the reset tells its caller so. Were the read ahead
+// of the lock, a connection could be closed between the two, with a request read that nobody answers and nobody sends again.
+func (k *Conn) readAtRest(b []byte) (n int, err error) {
+	waited := k.raw.Read(func(fd uintptr) bool {
+		k.set.mu.Lock()
+		defer k.set.mu.Unlock()
+		if k.ended {
+			err = net.ErrClosed
+			return true
+		}
+		n, err = readNow(int(fd), b)
+		if errors.Is(err, syscall.EAGAIN) {
+			return false // RawConn waits for bytes, and then calls again
+		}
+		n, err = k.note(n, err)
+		return true
+	})
+	var op *net.OpError
+	switch {
+	case errors.As(waited, &op):
+		err = op.Err // of the wait: a deadline or a close
+	case err == nil || err == io.EOF:
+		return n, err
+	}
+	return n, &net.OpError{Op: "read", Net: k.LocalAddr().Network(), Source: k.LocalAddr(), Addr: k.RemoteAddr(), Err: err}
+}
+
+// readNow reads what stands in a socket that does not block.
+func readNow(fd int, b []byte) (int, error) {
+	for {
+		n, err := unix.Read(fd, b)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err != nil:
+			return 0, os.NewSyscallError("read", err)
+		case n == 0 && len(b) > 0:
+			return 0, io.EOF
+		}
+		return n, nil
+	}
+}
+
+// note takes in what a read brought; k.set.mu must be held.
+func (k *Conn) note(n int, err error) (int, error) {
+	if n == 0 {
+		return 0, err
+	}
+	if k.ended {
+		return 0, net.ErrClosed
+	}
+	if k.kind != busy {
+		k.set.become(k, partial, time.Now())
+	}
+	if k.breaking { // too late: something has come
+		k.breaking = false
+		k.Conn.SetReadDeadline(time.Now().Add(k.set.parking.pace.Timeout))
+	}
+	return n, err
+}
+
+// busy says whether a request is open.
+func (k *Conn) busy() bool {
+	k.set.mu.Lock()
+	defer k.set.mu.Unlock()
+	return k.kind == busy
+}
+
 // serving says whether a request is open that has been read whole.
 func (k *Conn) serving() bool {
 	k.set.mu.Lock()
--- a/internal/callers/park.go
+++ b/internal/callers/park.go
@@ -68,7 +68,7 @@
 func (p *Parking) forget() {
 	c := p.set
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	c.endFirst([]kind{parkedOnce, parkedIdle}, len(c.open), func(*Conn) bool { return true })
 }
 
@@ -76,7 +76,7 @@
 func (p *Parking) tick(now time.Time) {
 	c := p.set
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	batch := p.pace.Batch(len(c.open))
 	batch -= c.endFirst([]kind{parkedOnce, parkedIdle}, batch, func(k *Conn) bool { return p.pace.Close(k.since, now) })
 	for _, kind := range []kind{once, idling} {
