--- a/internal/rig/trial/trial.go
+++ b/internal/rig/trial/trial.go
@@ -111,8 +111,14 @@
 	"prepared":    func(s *accord.Settings) { s.NoPrepared = true },
 	"wait":        func(s *accord.Settings) { s.NoWait = true },
 	"confirm":     func(s *accord.Settings) { s.NoConfirm = true },
+	contentCheck:  func(s *accord.Settings) { s.NoDigest = true },
+	// It counts where leases rest on what proxies have, which they do beside differences that are long.
+	"enforcing": func(s *accord.Settings) { s.NoEnforcing, s.MostShort = true, 1 },
 }
 
+// contentCheck is the comparison of what a proxy has with what the voters have by its digest. The view has one named "digest".
+const contentCheck = "content"
+
 // Defences are the names that Without may hold: of the view, and of the agreement.
 func Defences() []string {
 	return append(slices.Sorted(maps.Keys(defences)), slices.Sorted(maps.Keys(ruleDefences))...)
@@ -206,19 +212,25 @@
 const (
 	modelDrift = 0.02
 	modelCrash = 0.001
+	// modelCorrupt of the disks hold another document after a start, where contentCheck is taken out: otherwise it has nothing to find.
+	modelCorrupt = 0.5
 	// modelSettle is how long after a story all must be well.
 	modelSettle = 5 * time.Second
 )
 
 // inAgreement plays a story of rules in the model of an agreement.
 func (c *Config) inAgreement(s *story.Story) (*Run, error) {
-	f, err := agreed.New(agreed.Config{Story: s, Drift: modelDrift, Crash: modelCrash, Set: func(set *accord.Settings) {
+	config := agreed.Config{Story: s, Drift: modelDrift, Crash: modelCrash, Set: func(set *accord.Settings) {
 		for _, name := range c.Without {
 			if take := ruleDefences[name]; take != nil {
 				take(set)
 			}
 		}
-	}})
+	}}
+	if slices.Contains(c.Without, contentCheck) {
+		config.Corrupt = modelCorrupt
+	}
+	f, err := agreed.New(config)
 	if err != nil {
 		return nil, err
 	}
