--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -45,7 +45,7 @@
 
 	parking *Parking // nil where none is parked; set before the first connection
 
-	ended     []net.Conn // to be closed once mu is let go of: a close waits for a read that may wait for mu
+	closing   []net.Conn // to be closed once mu is let go of: a close waits for a read that may wait for mu
 	shut      bool       // no connection is taken in, and nothing more is read
 	lingering int
 	lingers   sync.WaitGroup
@@ -170,10 +170,10 @@
 
 // unlock lets go of c.mu, and closes the connections that were ended while it was held.
 func (c *Set) unlock() {
-	ended := c.ended
-	c.ended = nil
+	closing := c.closing
+	c.closing = nil
 	c.mu.Unlock()
-	for _, conn := range ended {
+	for _, conn := range closing {
 		conn.Close()
 	}
 }
@@ -187,7 +187,7 @@
 		k.lot.Drop(k.key)
 		return
 	}
-	c.ended = append(c.ended, k.Conn)
+	c.closing = append(c.closing, k.Conn)
 }
 
 func (c *Set) forget(k *Conn) {
