Cluster: followers of a view that changes all the time are told each second, not four times

Cause: once a machine with 1,400 members is full, it stays full: each suspicion is a change of 1,400 views, and each view told its followers four times a second, 0.4 ms or more each time, some 3 cores in all (by profile and count; an estimate). Change: mostTellWait is 1 s. It bounds a wait of 50 times what telling takes, so that fleets that have the processor are told as before.

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -43,7 +43,7 @@
 	leaveTime = 500 * time.Millisecond
 	// Followers are told how the view stands at most so often that it takes about one part in tellShare of the time, since in a fleet of
 	// a thousand that starts the view changes with every message; and at least every mostTellWait while it changes.
-	tellShare, mostTellWait = 50, 250 * time.Millisecond
+	tellShare, mostTellWait = 50, time.Second
 )
 
 // Config is what a node is told.
