--- a/internal/rig/scale/usage.go
+++ b/internal/rig/scale/usage.go
@@ -123,14 +123,12 @@
 		by[role].add(was, is, length)
 	}
 	r.addSolo(out, by[result.Member], before, after)
-	for i, is := range after.real {
+	for i, is := range after.real[:min(len(before.real), len(after.real))] { // none before the first sample of a run in which all start
 		if by[result.Proxy] == nil {
 			by[result.Proxy] = &roleUsage{}
 		}
-		if i < len(before.real) {
-			out.Host.Load += (is.CPU - before.real[i].CPU).Seconds() / length
-			by[result.Proxy].add(before.real[i], is, length)
-		}
+		out.Host.Load += (is.CPU - before.real[i].CPU).Seconds() / length
+		by[result.Proxy].add(before.real[i], is, length)
 	}
 	for _, role := range []result.Role{result.Member, result.Proxy, result.Leader, result.Voter} {
 		if u := by[role]; u != nil {
