Tidy: one way to note who lives, one set-up of long differences, the library's sort

Need: read again, the change had the same logic twice: nowLiving and kill in rig/scale each noted members and told all hosts, and two tests of leases built the same pair. View sorted the keys of a map by hand where slices.Sorted(maps.Keys) does, as accord does. Ruled out: olderMessage beside Message (the wire of programs from before, on purpose); procfs.ResidentMemory beside proxy's own reading of statm (the proxy must not import the rig; a package of its own would change the deploy file's list). Change: setLiving, newPairOfLongDifferences; no assertion, bound or behaviour differs.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -281,8 +281,7 @@
 	return ended
 }
 
-// Read notes the first byte that is read, not only the whole head that net/http tells of: a request that has been read
-// must not be taken for one that the caller may send again.
+// Read reads for net/http, and follows where one request ends and the next begins.
 func (k *Conn) Read(b []byte) (int, error) {
 	n, err := k.read(b)
 	k.framing.Feed(b[:n])
@@ -376,7 +375,8 @@
 	}
 }
 
-// note takes in what a read brought; k.set.mu must be held.
+// note takes in what a read brought; k.set.mu must be held. It notes the first byte that is read, not only the whole head that net/http
+// tells of: a request that has been read must not be taken for one that the caller may send again.
 func (k *Conn) note(n int, err error) (int, error) {
 	if n == 0 {
 		return 0, err
--- a/internal/cluster/accord/differences_test.go
+++ b/internal/cluster/accord/differences_test.go
@@ -236,15 +236,23 @@
 	}
 }
 
-// TestALeaseRestsOnWhatIsThere while what is new takes its time: nothing that the holder does not know is in force meanwhile. Where it
-// never comes the lease ends, and the change is in force without the holder.
-func TestALeaseRestsOnWhatIsThere(t *testing.T) {
+// newPairOfLongDifferences is a leader that takes every difference for too long to go with a grant, and a holder with a lease; from now on
+// no standing and no difference reaches the holder.
+func newPairOfLongDifferences(t *testing.T) *pair {
+	t.Helper()
 	p := newPair(t)
 	p.leader = p.start("leader", Stored{}, func(s *Settings) { s.MostShort = 1 })
 	p.run(3 * time.Second)
 	p.holder = p.start("holder", Stored{}, nil)
 	p.run(time.Second)
 	p.lose = func(m *Message) bool { return delta(m) || whole(m) }
+	return p
+}
+
+// TestALeaseRestsOnWhatIsThere while what is new takes its time: nothing that the holder does not know is in force meanwhile. Where it
+// never comes the lease ends, and the change is in force without the holder.
+func TestALeaseRestsOnWhatIsThere(t *testing.T) {
+	p := newPairOfLongDifferences(t)
 	p.ban("node-0")
 	p.sent = nil
 	p.run(400 * time.Millisecond)
@@ -275,12 +283,7 @@
 // TestLeasesRestWithinTheStatedTime: no lease is granted on less than is agreed once one would last beyond the stated time, and none for
 // a version of a leader before.
 func TestLeasesRestWithinTheStatedTime(t *testing.T) {
-	p := newPair(t)
-	p.leader = p.start("leader", Stored{}, func(s *Settings) { s.MostShort = 1 })
-	p.run(3 * time.Second)
-	p.holder = p.start("holder", Stored{}, nil)
-	p.run(time.Second)
-	p.lose = func(m *Message) bool { return delta(m) || whole(m) }
+	p := newPairOfLongDifferences(t)
 	p.ban("node-0")
 	agreed := p.now
 	v := p.leader.voter
--- a/internal/cluster/view/member.go
+++ b/internal/cluster/view/member.go
@@ -43,16 +43,6 @@
 	return x ^ x>>32
 }
 
-// sortedKeys are the names of members, in order.
-func sortedKeys(m map[string]*member) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // addMember takes in a member that was unknown.
 func (v *View) addMember(now time.Duration, r *Record) {
 	if len(v.members) >= v.set.Most-1 && !v.evictGone() {
--- a/internal/cluster/view/suspicion.go
+++ b/internal/cluster/view/suspicion.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -126,7 +127,7 @@
 // and of the others about as many as are enough.
 func (v *View) pingSuspects(now time.Duration, all float64) {
 	n := 0
-	for _, name := range sortedKeys(v.suspect) {
+	for _, name := range slices.Sorted(maps.Keys(v.suspect)) {
 		m := v.suspect[name]
 		if n == mostWidth {
 			return
--- a/internal/rig/scale/members.go
+++ b/internal/rig/scale/members.go
@@ -36,7 +36,7 @@
 
 // startService starts the real proxies, with load.
 func (r *run) startService(ctx context.Context, members []*memberPlan) error {
-	if err := r.nowLiving(ctx, members); err != nil {
+	if err := r.setLiving(ctx, members, true); err != nil {
 		return err
 	}
 	if err := r.openService(ctx, members); err != nil {
@@ -46,23 +46,27 @@
 	return nil
 }
 
-// nowLiving notes that members are about to live, here and at all hosts.
-func (r *run) nowLiving(ctx context.Context, members []*memberPlan) error {
-	living := hollow.Living{}
+// setLiving notes that members are about to live or to die, here and at all hosts.
+func (r *run) setLiving(ctx context.Context, members []*memberPlan, living bool) error {
+	change := hollow.Living{}
 	r.mu.Lock()
 	for _, m := range members {
-		m.living = true
-		living.Up = append(living.Up, hollow.Boot{Name: m.name, Boot: m.boot})
+		m.living = living
+		if living {
+			change.Up = append(change.Up, hollow.Boot{Name: m.name, Boot: m.boot})
+		} else {
+			change.Down = append(change.Down, m.name)
+		}
 	}
 	r.expected = r.plan.digest()
 	r.mu.Unlock()
-	_, err := r.all(ctx, hollow.Request{Living: &living})
+	_, err := r.all(ctx, hollow.Request{Living: &change})
 	return err
 }
 
 // start starts members, one after another at each host.
 func (r *run) start(ctx context.Context, members []*memberPlan, every time.Duration) error {
-	if err := r.nowLiving(ctx, members); err != nil {
+	if err := r.setLiving(ctx, members, true); err != nil {
 		return err
 	}
 	return r.each(members, func(h *host, members []*memberPlan) error {
@@ -87,15 +91,7 @@
 
 // kill ends members at once, without a word to others.
 func (r *run) kill(ctx context.Context, members []*memberPlan) error {
-	living := hollow.Living{}
-	r.mu.Lock()
-	for _, m := range members {
-		m.living = false
-		living.Down = append(living.Down, m.name)
-	}
-	r.expected = r.plan.digest()
-	r.mu.Unlock()
-	if _, err := r.all(ctx, hollow.Request{Living: &living}); err != nil {
+	if err := r.setLiving(ctx, members, false); err != nil {
 		return err
 	}
 	return r.each(members, func(h *host, members []*memberPlan) error {
