--- a/bench/start_test.go
+++ b/bench/start_test.go
@@ -2,17 +2,16 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"brasswell/internal/rig/procfs"
 )
 
 // BenchmarkStart starts the program as the platform does and waits until /_health answers 200. It reports the time
@@ -86,14 +85,10 @@
 
 // resident is a process's resident memory in MiB.
 func resident(b testing.TB, pid int) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		b.Fatal(err)
-	}
-	_, rest, _ := strings.Cut(string(text), "VmRSS:")
-	kb, err := strconv.Atoi(strings.Fields(rest)[0])
-	if err != nil {
-		b.Fatal(err)
+	b.Helper()
+	bytes := procfs.ResidentMemory(pid)
+	if bytes == 0 {
+		b.Fatalf("process %d has no resident memory", pid)
 	}
-	return float64(kb) / 1024
+	return float64(bytes) / (1 << 20)
 }
--- a/internal/rig/server.go
+++ b/internal/rig/server.go
@@ -61,6 +61,9 @@
 // ProcessorTime is what the process has used so far.
 func (s *Server) ProcessorTime() (time.Duration, error) { return procfs.ProcessorTime(s.at.pid()) }
 
+// ResidentMemory is what the process holds in memory, in bytes.
+func (s *Server) ResidentMemory() uint64 { return procfs.ResidentMemory(s.at.pid()) }
+
 // Figure is one figure of the process's console, by its name there.
 func (s *Server) Figure(ctx context.Context, name string) (int64, error) {
 	code, text, err := s.at.get(ctx, "/v1/metrics")
