Rig: a start that fails says how the process ended and what it said

The error now names the exit status and the last 20 lines. Beside that, a start whose console address is taken could stand for the whole readyTime (30 s) and end as "not ready": the call to the console waits for an answer of whoever listens there, and nobody looked at the process meanwhile. It is given up once the process has ended.

TestStartSaysWhyAProcessEnded takes the console address of a member.

--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,6 +27,9 @@
 // starveSlice is the shortest time for which a starved process runs.
 const starveSlice = 10 * time.Millisecond
 
+// mostSaid is how many lines of a process are kept for the error of a start that fails.
+const mostSaid = 20
+
 // process is one member's process, through all its starts. Its methods may be called at any time.
 type process struct {
 	program Program
@@ -42,6 +46,8 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd     // nil while it is not there
 	ended   chan struct{} // closed once cmd has been waited for
+	said    []string      // the last lines of the present start, mostSaid at most
+	status  string        // how the last start ended
 	starve  context.CancelFunc
 	feeding sync.WaitGroup
 	starts  int
@@ -80,20 +86,41 @@
 	}
 	p.starts++
 	ended := make(chan struct{})
-	p.cmd, p.ended = cmd, ended
+	p.cmd, p.ended, p.said, p.status = cmd, ended, nil, ""
 	go func() { // ends with the process
 		defer close(ended)
 		s := bufio.NewScanner(out)
 		s.Buffer(make([]byte, 0, 64<<10), 1<<20)
 		for s.Scan() {
+			p.remember(s.Text())
 			p.lines(p.name, s.Text())
 		}
 		io.Copy(io.Discard, out)
 		cmd.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.status = cmd.ProcessState.String()
 	}()
 	return nil
 }
 
+// remember keeps a line for the error of a start that fails.
+func (p *process) remember(line string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.said) == mostSaid {
+		p.said = slices.Delete(p.said, 0, 1)
+	}
+	p.said = append(p.said, line)
+}
+
+// endedEarly is the error of a process that has ended before it was ready: how it ended, and what it said last.
+func (p *process) endedEarly() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Errorf("rig: %s ended before it was ready: %s; it said: %s", p.name, p.status, strings.Join(p.said, " | "))
+}
+
 // signal sends a signal to the process, if it is there.
 func (p *process) signal(s syscall.Signal) error {
 	p.mu.Lock()
@@ -241,19 +268,29 @@
 	return resp.StatusCode, strings.TrimSpace(string(text)), err
 }
 
-// ready waits until the process takes clients.
+// ready waits until the process takes clients. A call that waits for its answer is given up once the process has ended: at its
+// console's address something else may listen.
 func (p *process) ready(ctx context.Context) error {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	asking, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { // ends with this call
+		select {
+		case <-ended:
+			cancel()
+		case <-asking.Done():
+		}
+	}()
 	for {
-		code, _, err := p.get(ctx, "/v1/readyz")
+		code, _, err := p.get(asking, "/v1/readyz")
 		if err == nil && code == http.StatusOK {
 			return nil
 		}
-		p.mu.Lock()
-		ended := p.ended
-		p.mu.Unlock()
 		select {
 		case <-ended:
-			return fmt.Errorf("rig: %s ended before it was ready", p.name)
+			return p.endedEarly()
 		case <-ctx.Done():
 			return fmt.Errorf("rig: %s is not ready: %w", p.name, ctx.Err())
 		case <-time.After(5 * time.Millisecond):
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -723,6 +723,9 @@
 // Address is where callers connect to a member.
 func (r *Rig) Address(name string) string { return r.byName[name].address }
 
+// Console is where operators ask a member.
+func (r *Rig) Console(name string) string { return r.byName[name].process().console }
+
 // Public is where others send a member's fleet messages: on the switchboard.
 func (r *Rig) Public(name string) string { return r.byName[name].public }
 
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -441,3 +441,28 @@
 		t.Errorf("on: %d %q, %v", code, text, err)
 	}
 }
+
+// TestStartSaysWhyAProcessEnded: where a member's console address is taken, the error of the start names the member, how its process
+// ended and what it said.
+func TestStartSaysWhyAProcessEnded(t *testing.T) {
+	t.Parallel()
+	r, err := rig.New(rig.Config{Story: calm(2, time.Second), Program: program, Folder: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	taken, err := net.Listen("tcp4", r.Console("n2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	err = r.Start(t.Context())
+	if err == nil {
+		t.Fatal("n2 has started without its console")
+	}
+	for _, want := range []string{"n2 ended before it was ready", "exit status 2", r.Console("n2"), "address already in use"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in: %v", want, err)
+		}
+	}
+}
