Rig: addresses that are taken are drawn anew, and kinds of runs draw from ranges of their own

A rig looked only at its members' public addresses before it took a network; a socket at a member's own fleet, console or proxy address ended that member's process at its start. Chains of proxies (scale calls) held and looked at nothing. Rigs, chains and scale runs drew second bytes from ranges that overlap (64-191, 64-191, 64-250), and an upgraded member's console may be at 17950, the port of scale runs' members.

Package loopback has three disjoint ranges (rigs 64-103, chains 104-127, scale runs 128-250) and what scale runs had: a look at addresses, and a claim that holds a run's place against others of its kind. A rig now looks at each member's own addresses too, those of upgrades included, while the switchboard holds the public ones; a chain claims its network. All draw anew, ten times at most. What a rig holds in the platform's stead is closed with it.

It rules the collision out.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -6,6 +6,7 @@
 //	internal/rig/story     what happens, as data; no I/O
 //	internal/rig/faults    what becomes of each datagram; no I/O
 //	internal/rig/history   what it shows; no I/O
+//	internal/rig/loopback  who draws which addresses
 package rig
 
 import (
@@ -29,6 +30,7 @@
 	"brasswell/internal/rig/comeback"
 	"brasswell/internal/rig/faults"
 	"brasswell/internal/rig/history"
+	"brasswell/internal/rig/loopback"
 	"brasswell/internal/rig/procfs"
 	"brasswell/internal/rig/ruling"
 	"brasswell/internal/rig/story"
@@ -39,6 +41,10 @@
 const (
 	// The ports of each member, on an address of its own, below those that the kernel gives out.
 	fleetPort, consolePort, proxyPort = 17946, 17947, 17948
+	// The console of an upgraded member is at one of these in turn.
+	oddConsolePort, evenConsolePort = 17949, 17950
+	// placeTries is how many networks are drawn for one whose addresses are all free.
+	placeTries = 10
 	// readyTime bounds the start of all processes together.
 	readyTime = 30 * time.Second
 	// patience bounds the end of a process that was asked to end.
@@ -142,46 +148,92 @@
 		r.board.Close()
 		return nil, err
 	}
-	// Addresses that no other rig of this machine has at the same time, but by a rare chance, which Member finds.
-	for try := 0; ; try++ {
-		if err = r.place(); err == nil {
-			return r, nil
+	if err := r.settle(drawNetwork); err != nil {
+		return nil, errors.Join(err, r.fleet.Close(), os.RemoveAll(r.temporary))
+	}
+	return r, nil
+}
+
+// settle draws networks until the members can be placed in one.
+func (r *Rig) settle(draw func() network) error {
+	for try := 1; ; try++ {
+		err := r.place(draw())
+		if err == nil {
+			return nil
 		}
 		r.board.Close()
-		if try == 10 || !errors.Is(err, syscall.EADDRINUSE) {
-			r.fleet.Close()
-			return nil, err
+		r.letGo()
+		if try == placeTries || !errors.Is(err, syscall.EADDRINUSE) {
+			return err
 		}
-		r.board = NewSwitchboard(c.Story.Seed)
+		r.board = NewSwitchboard(r.config.Story.Seed)
 	}
 }
 
-func (r *Rig) place() error {
-	a, b := byte(64+rand.IntN(128)), byte(2*rand.IntN(125))
-	address := func(public byte, i int, port uint16) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, a, b + public, byte(i + 1)}), port)
+// letGo closes the sockets that are held in the platform's stead.
+func (r *Rig) letGo() {
+	for _, m := range r.members {
+		if held := m.process().held; held != nil {
+			held.Close()
+		}
 	}
+}
+
+// network is the second and third bytes of the addresses of a rig's members; their public ones have the next third byte.
+type network struct{ second, third byte }
+
+// drawNetwork is one that another rig may have by a rare chance, which place finds.
+func drawNetwork() network { return network{loopback.Rigs.Draw(), byte(2 * rand.IntN(125))} }
+
+// real is where a member itself listens.
+func (n network) real(member int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n.second, n.third, byte(member + 1)}), port)
+}
+
+// public is where others send a member's fleet messages.
+func (n network) public(member int) netip.AddrPort {
+	return network{n.second, n.third + 1}.real(member, fleetPort)
+}
+
+// checkFree says whether a member can listen at all of its addresses.
+func (n network) checkFree(member int) error {
+	var addresses []netip.AddrPort
+	for _, port := range []uint16{fleetPort, consolePort, proxyPort, oddConsolePort, evenConsolePort} {
+		addresses = append(addresses, n.real(member, port))
+	}
+	if err := loopback.CheckFree(addresses); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	return nil
+}
+
+// place gives the members their addresses in a network, and writes their files. The switchboard holds all public addresses from then on,
+// so that no other rig takes the network; the members' own are looked at after that.
+func (r *Rig) place(n network) error {
 	if r.config.Story.Members > 250 {
 		return fmt.Errorf("rig: %d members; 250 processes at most", r.config.Story.Members)
 	}
 	r.members, r.byName = nil, map[string]*member{}
 	var seeds []string
 	for i := range min(mostSeeds, r.config.Story.Members) {
-		seeds = append(seeds, address(1, i, fleetPort).String())
+		seeds = append(seeds, n.public(i).String())
 	}
 	for i, name := range r.config.Story.Names() {
-		real, public := address(0, i, fleetPort), address(1, i, fleetPort)
+		real, public := n.real(i, fleetPort), n.public(i)
 		if err := r.board.Member(name, public, real); err != nil {
 			return err
 		}
+		if err := n.checkFree(i); err != nil {
+			return err
+		}
 		folder := filepath.Join(r.config.Folder, name)
 		own := filepath.Join(folder, "own")
 		if err := os.MkdirAll(own, 0o700); err != nil {
 			return fmt.Errorf("rig: %w", err)
 		}
-		m := &member{name: name, address: address(0, i, proxyPort).String(), real: real.String(), public: public.String()}
+		m := &member{name: name, address: n.real(i, proxyPort).String(), real: real.String(), public: public.String()}
 		m.at = &process{
-			program: r.config.Program, name: name, folder: own, console: address(0, i, consolePort).String(), lines: r.line,
+			program: r.config.Program, name: name, folder: own, console: n.real(i, consolePort).String(), lines: r.line,
 			temporary: r.temporary, args: []string{"run", "-c", filepath.Join(folder, "operator.toml")},
 			env: []string{"RELAY_CONFIG=" + filepath.Join(folder, "config.json")},
 		}
@@ -557,7 +609,7 @@
 	}
 	next := &process{
 		program: old.program, name: old.name, folder: old.folder, temporary: old.temporary, lines: r.line, args: old.args, held: old.held,
-		console: net.JoinHostPort(host, fmt.Sprint(consolePort+2+old.starts%2)),
+		console: net.JoinHostPort(host, fmt.Sprint(oddConsolePort+old.starts%2)),
 	}
 	next.env = append(slices.DeleteFunc(slices.Clone(old.env), func(e string) bool { return strings.HasPrefix(e, "RELAY_CONSOLE=") }), "RELAY_CONSOLE="+next.console)
 	next.starts = old.starts // which start counts on
@@ -714,6 +766,7 @@
 	}
 	errs = append(errs, r.fleet.Close())
 	r.board.Close()
+	r.letGo()
 	return errors.Join(append(errs, os.RemoveAll(r.temporary))...)
 }
 
--- a/internal/rig/scale/bounds.go
+++ b/internal/rig/scale/bounds.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"strconv"
@@ -11,11 +10,10 @@
 	"syscall"
 
 	"brasswell/internal/rig/hollow"
+	"brasswell/internal/rig/loopback"
 )
 
 const (
-	// lowestBase and highestBase are the second bytes of addresses that runs use.
-	lowestBase, highestBase = 64, 250
 	// baseTries is how many bases are looked at for one whose addresses are all free.
 	baseTries = 10
 	// perHost members share a process.
@@ -32,6 +30,9 @@
 	perMemberMemory, perPairMemory = 256 << 10, 1500
 )
 
+// lowestBase and highestBase are the second bytes of addresses that runs use.
+var lowestBase, highestBase = int(loopback.ScaleRuns.First), int(loopback.ScaleRuns.Last)
+
 // checkDescriptors says whether a host may open what its members need.
 func checkDescriptors(members int) error {
 	var limit syscall.Rlimit
@@ -79,40 +80,23 @@
 
 // free says whether all addresses can be listened at.
 func free(addresses []netip.AddrPort) error {
-	for _, at := range addresses {
-		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
-		if err != nil {
-			return fmt.Errorf("scale: %s is taken: %w; end what listens there, or give another --base", at, err)
-		}
-		udp.Close()
-		tcp, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
-		if err != nil {
-			return fmt.Errorf("scale: %s is taken: %w; end what listens there, or give another --base", at, err)
-		}
-		tcp.Close()
+	if err := loopback.CheckFree(addresses); err != nil {
+		return fmt.Errorf("scale: %w; end what listens there, or give another --base", err)
 	}
 	return nil
 }
 
-// claim holds an address of each zone that no member has, so that two runs at one time do not take the same ones. The function that
-// it returns lets go of them.
-func claim(l hollow.Layout) (release func(), err error) {
-	var held []net.Listener
-	release = func() {
-		for _, h := range held {
-			h.Close()
-		}
-	}
+// claim holds an address of each zone that no member has, so that two runs at one time do not take the same ones.
+func claim(l hollow.Layout) (*loopback.Claim, error) {
+	var addresses []netip.AddrPort
 	for zone := range l.Zones {
-		at := l.ClaimAddress(zone)
-		one, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
-		if err != nil {
-			release()
-			return nil, fmt.Errorf("scale: %s is taken, by another run it seems: %w; give another --base", at, err)
-		}
-		held = append(held, one)
+		addresses = append(addresses, l.ClaimAddress(zone))
+	}
+	held, err := loopback.NewClaim(addresses)
+	if err != nil {
+		return nil, fmt.Errorf("scale: %w, by another run it seems; give another --base", err)
 	}
-	return release, nil
+	return held, nil
 }
 
 // drawBase is a second byte of addresses that leaves room for all zones.
--- a/internal/rig/scale/calls/chain.go
+++ b/internal/rig/scale/calls/chain.go
@@ -8,9 +8,11 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"brasswell/internal/rig"
+	"brasswell/internal/rig/loopback"
 	"brasswell/internal/standin"
 	"brasswell/internal/standin/audit"
 )
@@ -18,6 +20,8 @@
 const (
 	// The ports of each proxy, on an address of its own, below those that the kernel gives out.
 	consolePort, proxyPort = 17947, 17948
+	// placeTries is how many networks are drawn for one whose addresses are all free.
+	placeTries = 10
 	// The backend takes all calls at once, so that it adds the same to both sides.
 	slots = 4096
 	// The limits of each proxy, as of one of a fleet.
@@ -37,7 +41,8 @@
 type chain struct {
 	fleet   *standin.Fleet
 	proxies []*rig.Server
-	address []string // where each proxy is called
+	network network
+	claim   *loopback.Claim // of the network; nil before it is placed
 }
 
 // startChain starts the backend and the proxies, the last first, and returns once all take calls.
@@ -50,31 +55,67 @@
 		return nil, err
 	}
 	c := &chain{fleet: fleet, proxies: make([]*rig.Server, depth)}
-	network := [2]byte{byte(64 + rand.IntN(128)), byte(rand.IntN(250))} // that no other chain of this machine has, but by a rare chance
-	for i := range depth {
-		c.address = append(c.address, loopback(network, i, proxyPort))
+	if err := c.place(drawNetwork); err != nil {
+		return nil, errors.Join(err, c.close())
 	}
 	for i := depth - 1; i >= 0; i-- {
-		if c.proxies[i], err = c.startProxy(ctx, program, i, filepath.Join(folder, fmt.Sprint(i)), loopback(network, i, consolePort)); err != nil {
+		if c.proxies[i], err = c.startProxy(ctx, program, i, filepath.Join(folder, fmt.Sprint(i))); err != nil {
 			return nil, errors.Join(err, c.close())
 		}
 	}
 	return c, nil
 }
 
-// loopback is the address of one proxy.
-func loopback(network [2]byte, i int, port uint16) string {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, network[0], network[1], byte(i + 1)}), port).String()
+// network is the second and third bytes of the proxies' addresses.
+type network struct{ second, third byte }
+
+func drawNetwork() network { return network{loopback.Chains.Draw(), byte(rand.IntN(250))} }
+
+// address is that of one proxy at a port.
+func (n network) address(proxy int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n.second, n.third, byte(proxy + 1)}), port)
+}
+
+// claimAddress is one that no proxy has: who runs a chain in the network listens there.
+func (n network) claimAddress() netip.AddrPort {
+	const last = 254
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n.second, n.third, last}), proxyPort)
+}
+
+// place draws networks until the proxies can listen in one, and holds it against other chains.
+func (c *chain) place(draw func() network) error {
+	for try := 1; ; try++ {
+		err := c.placeAt(draw())
+		if err == nil || try == placeTries || !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+}
+
+func (c *chain) placeAt(n network) error {
+	claim, err := loopback.NewClaim([]netip.AddrPort{n.claimAddress()})
+	if err != nil {
+		return fmt.Errorf("calls: %w", err)
+	}
+	var addresses []netip.AddrPort
+	for i := range c.proxies {
+		addresses = append(addresses, n.address(i, proxyPort), n.address(i, consolePort))
+	}
+	if err := loopback.CheckFree(addresses); err != nil {
+		return errors.Join(fmt.Errorf("calls: %w", err), claim.Release())
+	}
+	c.network, c.claim = n, claim
+	return nil
 }
 
 // startProxy starts one proxy. Its only backend is the next proxy; that of the last is the fleet's.
-func (c *chain) startProxy(ctx context.Context, program rig.Program, i int, folder, console string) (*rig.Server, error) {
+func (c *chain) startProxy(ctx context.Context, program rig.Program, i int, folder string) (*rig.Server, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, fmt.Errorf("calls: %w", err)
 	}
 	told := func(h standin.Host) standin.Host {
-		if i+1 < len(c.address) {
-			h.Dial = c.address[i+1]
+		if i+1 < len(c.proxies) {
+			h.Dial = c.network.address(i+1, proxyPort).String()
 		}
 		return h
 	}
@@ -83,7 +124,8 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("hop-%d", i+1)
-	text, err := c.fleet.ConfigAt(0, 1, memoryMB, sockets, standin.Place{Name: name, Listen: c.address[i], Console: console, Discovery: list, Told: told})
+	listen, console := c.network.address(i, proxyPort).String(), c.network.address(i, consolePort).String()
+	text, err := c.fleet.ConfigAt(0, 1, memoryMB, sockets, standin.Place{Name: name, Listen: listen, Console: console, Discovery: list, Told: told})
 	if err != nil {
 		return nil, fmt.Errorf("calls: %w", err)
 	}
@@ -92,7 +134,7 @@
 
 // backend is the address of the backend, and first that of the first proxy.
 func (c *chain) backend() string { return c.fleet.Backends[0].Address() }
-func (c *chain) first() string   { return c.address[0] }
+func (c *chain) first() string   { return c.network.address(0, proxyPort).String() }
 
 // usage is what one proxy has done so far.
 type usage struct {
@@ -159,5 +201,8 @@
 			errs = append(errs, p.Close())
 		}
 	}
+	if c.claim != nil {
+		errs = append(errs, c.claim.Release())
+	}
 	return errors.Join(append(errs, c.fleet.Close())...)
 }
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"brasswell/internal/rig/hollow"
+	"brasswell/internal/rig/loopback"
 	"brasswell/internal/rig/scale/result"
 )
 
@@ -48,8 +49,8 @@
 	hosts  []*host
 	// observers is a host without members of its own: it counts the real proxies.
 	observers *hollow.Host
-	service   *service // nil without real proxies
-	release   func()   // lets go of the addresses
+	service   *service        // nil without real proxies
+	claim     *loopback.Claim // of the addresses
 	folder    string
 	memory    uint64 // of the machine
 	ctx       context.Context
@@ -200,7 +201,7 @@
 		ending.Go(h.close)
 	}
 	ending.Wait()
-	r.release()
+	r.claim.Release()
 	os.RemoveAll(r.folder)
 }
 
--- a/internal/rig/scale/scale_test.go
+++ b/internal/rig/scale/scale_test.go
@@ -99,7 +99,7 @@
 	if err := first.place(); err != nil { // addresses that no other run of this machine has
 		t.Fatal(err)
 	}
-	first.release()
+	first.claim.Release()
 	config.Base = first.plan.layout.Base
 	taken := first.plan.members[config.Members-1].address
 	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(taken))
@@ -128,11 +128,11 @@
 	if err := second.placeAt(overlapping); err == nil || !strings.Contains(err.Error(), "another run") {
 		t.Errorf("%v", err)
 	}
-	first.release()
+	first.claim.Release()
 	if err := second.placeAt(first.plan.layout.Base); err != nil {
 		t.Error(err)
 	} else {
-		second.release()
+		second.claim.Release()
 	}
 }
 
--- a/internal/rig/scale/setup.go
+++ b/internal/rig/scale/setup.go
@@ -29,7 +29,7 @@
 		return err
 	}
 	if r.folder, err = os.MkdirTemp(parent, "brasswell-scale-"); err != nil {
-		r.release()
+		r.claim.Release()
 		return fmt.Errorf("scale: the voters' folders: %w; give another --folder", err)
 	}
 	return nil
@@ -50,15 +50,14 @@
 
 func (r *run) placeAt(base int) error {
 	r.plan = newPlan(&r.config, base, r.random)
-	release, err := claim(r.plan.layout)
+	held, err := claim(r.plan.layout)
 	if err != nil {
 		return err
 	}
 	if err := free(r.plan.addresses()); err != nil {
-		release()
-		return err
+		return errors.Join(err, held.Release())
 	}
-	r.release = release
+	r.claim = held
 	return nil
 }
 
