Tests: no address that another socket may take before it is used

The test of bans by hand, and those of nodes, asked the kernel for a free port, closed it and had the program listen there a little later. Any connection of the machine may be given that port in between: a proxy then does not start, and a node waits for its address until the test's time is over.

The proxy now takes its console's port from the kernel itself, and the test asks where that is. Nodes of tests stand at IPs of their own, at a port below those that the kernel gives out. What the tests ask for has not changed.

--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -5,29 +5,38 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 
 	"brasswell/internal/cluster/view"
+	"brasswell/internal/rig/loopback"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// place is a free address on loopback.
+// places counts the addresses that tests of this process have had.
+var places atomic.Uint32
+
+// place is an address on loopback of this test's own: an IP that nothing else of the machine uses, and a port below those that the
+// kernel gives out, so that nobody takes it between here and the node's start, or while a node lets go of it for another.
 func place(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	process := os.Getpid() // processes of other tests stand beside this one
+	const port = 17946
+	for {
+		number := uint32(process)*64 + places.Add(1)
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 62, byte(number >> 8), byte(number)}), port)
+		if loopback.CheckFree([]netip.AddrPort{at}) == nil {
+			return at.String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func join(t *testing.T, name string, boot uint64, o Options) *Node {
--- a/internal/proxy/ban_story_test.go
+++ b/internal/proxy/ban_story_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -41,12 +40,6 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	l, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free
-	if err != nil {
-		t.Fatal(err)
-	}
-	console := l.Addr().String()
-	l.Close()
 	text, err := f.Config(64, 1024)
 	if err != nil {
 		t.Fatal(err)
@@ -55,7 +48,7 @@
 	if err := json.Unmarshal(text, &fields); err != nil {
 		t.Fatal(err)
 	}
-	fields["console"] = console
+	fields["console"] = "127.0.0.1:0"
 	if text, err = json.Marshal(fields); err != nil {
 		t.Fatal(err)
 	}
@@ -63,6 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	console := p.ConsoleAddr()
 	endProxy := serveProxy(t, p)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	say := func(id, verb string) {
