Scale calls: tell how calls without an answer ended, and by which proxy

Now a side counts refused (503), failed, timed out, connection errors and not sent, and those of the warm-up; a pair counts what each proxy refused and failed. The fields are left out where they are not known, so older files read as before. An unanswered call still fails the run.

--- a/internal/cli/scale_calls.go
+++ b/internal/cli/scale_calls.go
@@ -85,7 +85,7 @@
 	case run.Interrupted:
 		return answerNo{errors.New("ended early")}
 	case n > 0:
-		return answerNo{fmt.Errorf("%d calls were not answered", n)}
+		return answerNo{fmt.Errorf("%d calls were not answered: %v", n, run.UnansweredByEnd())}
 	}
 	return nil
 }
@@ -93,6 +93,12 @@
 // printPair prints one pair as soon as it is measured.
 func (e *env) printPair(rate float64, depth int, p callresult.Pair) {
 	fmt.Fprintf(e.out, "%v calls/s through %d: 99th direct %.2f ms, proxied %.2f ms, added %.2f ms\n", rate, depth, p.Direct.P99MS, p.Proxied.P99MS, p.AddedP99MS())
+	if u := p.Direct.Unanswered; u.Total() > 0 {
+		fmt.Fprintf(e.out, "  direct, not answered: %v\n", u)
+	}
+	if u := p.Proxied.Unanswered; u.Total() > 0 {
+		fmt.Fprintf(e.out, "  proxied, not answered: %v; by proxy, the first called first: refused %v, failed %v\n", u, p.HopRefused, p.HopFailed)
+	}
 }
 
 func (e *env) printCalls(run *callresult.Run) {
--- a/internal/rig/scale/callresult/callresult.go
+++ b/internal/rig/scale/callresult/callresult.go
@@ -54,6 +54,9 @@
 	// call in microseconds. Both include the warm-up.
 	HopCalls []int64   `json:"hop_calls"`
 	HopCPUUS []float64 `json:"hop_cpu_us"`
+	// HopRefused and HopFailed are the calls that each proxy answered so. Older files have neither.
+	HopRefused []int64 `json:"hop_refused,omitempty"`
+	HopFailed  []int64 `json:"hop_failed,omitempty"`
 }
 
 // Side is one run of calls. Times are in milliseconds, of the calls after the warm-up, from the moment at which a call was to be sent.
@@ -66,6 +69,8 @@
 	WorstMS  float64 `json:"worst_ms"`
 	// LateP99MS is by how much calls were sent after their moment, at the 99th percentile: the caller's own lateness, part of the times above.
 	LateP99MS float64 `json:"late_p99_ms"`
+	// Unanswered tells how the others of Sent than Answered ended; nil in older files.
+	Unanswered *Unanswered `json:"unanswered,omitempty"`
 }
 
 // AddedP99MS is what the proxies have added at the 99th percentile.
@@ -191,6 +196,11 @@
 			return fmt.Errorf("proxy %d: %d calls, %v us a call", i, p.HopCalls[i], p.HopCPUUS[i])
 		}
 	}
+	for _, hops := range [][]int64{p.HopRefused, p.HopFailed} {
+		if len(hops) != 0 && len(hops) != depth || slices.ContainsFunc(hops, func(n int64) bool { return n < 0 }) {
+			return fmt.Errorf("refused and failed by proxy: %v, %v; depth %d", p.HopRefused, p.HopFailed, depth)
+		}
+	}
 	for name, s := range map[string]Side{"direct": p.Direct, "proxied": p.Proxied} {
 		if s.Sent < 1 || s.Answered < 0 || s.Answered > s.Sent || s.Recorded < 0 || s.Recorded > s.Answered {
 			return fmt.Errorf("%s: sent %d, answered %d, recorded %d", name, s.Sent, s.Answered, s.Recorded)
@@ -198,6 +208,12 @@
 		if !finite(s.WorstMS) || s.MedianMS < 0 || s.MedianMS > s.P99MS || s.P99MS > s.WorstMS || s.LateP99MS < 0 || !finite(s.LateP99MS) {
 			return fmt.Errorf("%s: median %v, 99th %v, worst %v and lateness %v ms", name, s.MedianMS, s.P99MS, s.WorstMS, s.LateP99MS)
 		}
+		if s.Unanswered == nil {
+			continue
+		}
+		if err := s.Unanswered.check(s.Sent - s.Answered); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
 	}
 	return nil
 }
--- a/internal/rig/scale/calls/calls.go
+++ b/internal/rig/scale/calls/calls.go
@@ -156,6 +156,8 @@
 		calls := after[i].served - before[i].served
 		spent := after[i].time - before[i].time
 		p.HopCalls = append(p.HopCalls, calls)
+		p.HopRefused = append(p.HopRefused, after[i].refused-before[i].refused)
+		p.HopFailed = append(p.HopFailed, after[i].failed-before[i].failed)
 		p.HopCPUUS = append(p.HopCPUUS, float64(spent.Microseconds())/float64(max(calls, 1)))
 	}
 	return p, nil
--- a/internal/rig/scale/calls/chain.go
+++ b/internal/rig/scale/calls/chain.go
@@ -27,8 +27,9 @@
 	class   = "search"
 	aim     = 750 * time.Millisecond
 	giveUp  = 2 * time.Second
-	// The console's count of answers, and of the calls that have not ended.
-	servedFigure, activeFigure = "edge_relay.ok." + class, "edge_relay.active"
+	// The console's counts of answers, and of the calls that have not ended.
+	servedFigure, refusedFigure, failedFigure = "edge_relay.ok." + class, "edge_relay.shed." + class, "edge_relay.errors." + class
+	activeFigure                              = "edge_relay.active"
 	// settleTime bounds the wait for calls to end whose callers have their answers, settlePause is between two looks.
 	settleTime, settlePause = 5 * time.Second, 5 * time.Millisecond
 )
@@ -96,8 +97,8 @@
 
 // usage is what one proxy has done so far.
 type usage struct {
-	served int64
-	time   time.Duration // of the processor
+	served, refused, failed int64         // calls, by what they were answered
+	time                    time.Duration // of the processor
 }
 
 // settle waits until no proxy has a call that has not ended: a proxy counts a call after its caller has the answer.
@@ -128,19 +129,26 @@
 	}
 	var all []usage
 	for _, p := range c.proxies {
-		served, err := p.Figure(ctx, servedFigure)
+		one, err := usageOf(ctx, p)
 		if err != nil {
 			return nil, err
 		}
-		spent, err := p.ProcessorTime()
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, usage{served, spent})
+		all = append(all, one)
 	}
 	return all, nil
 }
 
+// usageOf is that of one proxy.
+func usageOf(ctx context.Context, p *rig.Server) (u usage, err error) {
+	for name, value := range map[string]*int64{servedFigure: &u.served, refusedFigure: &u.refused, failedFigure: &u.failed} {
+		if *value, err = p.Figure(ctx, name); err != nil {
+			return u, err
+		}
+	}
+	u.time, err = p.ProcessorTime()
+	return u, err
+}
+
 // spent is the processor time of all proxies so far.
 func (c *chain) spent() (sum time.Duration) {
 	for _, p := range c.proxies {
--- a/internal/rig/scale/calls/drive.go
+++ b/internal/rig/scale/calls/drive.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -35,6 +34,7 @@
 type recorder struct {
 	mu            sync.Mutex
 	side          callresult.Side
+	unanswered    callresult.Unanswered
 	latency, late *hdrhistogram.Histogram
 	open          int
 	recordFrom    time.Time
@@ -53,10 +53,7 @@
 	client := &http.Client{Transport: transport, Timeout: giveUp}
 	random := rand.New(rand.NewPCG(l.seed, uint64(l.rate)))
 	start := time.Now()
-	r := &recorder{
-		latency: hdrhistogram.New(leastLatency, mostLatency, latencyDigits), late: hdrhistogram.New(leastLatency, mostLatency, latencyDigits),
-		recordFrom: start.Add(warmUp),
-	}
+	r := newRecorder(start.Add(warmUp))
 	var out sync.WaitGroup
 	end := start.Add(warmUp + l.length)
 	next := start
@@ -65,10 +62,11 @@
 		if !next.Before(end) || !sleepUntil(ctx, next) {
 			break
 		}
+		due := next
 		if !r.begin() {
+			r.end(call{due: due, err: errNotSent})
 			continue
 		}
-		due := next
 		out.Go(func() { r.end(ask(ctx, client, address, prefix+strconv.Itoa(n), due)) })
 	}
 	out.Wait()
@@ -127,21 +125,26 @@
 		return err
 	}
 	if resp.StatusCode != http.StatusOK || len(text) <= len(id) || string(text[:len(id)]) != id {
-		return fmt.Errorf("status %d, %q", resp.StatusCode, text)
+		return &wrongAnswer{resp.StatusCode, text}
 	}
 	return nil
 }
 
-// begin notes a call that is to be sent, and says whether there is room for it.
+// newRecorder returns one that records calls which are due from a moment on.
+func newRecorder(from time.Time) *recorder {
+	return &recorder{
+		latency: hdrhistogram.New(leastLatency, mostLatency, latencyDigits), late: hdrhistogram.New(leastLatency, mostLatency, latencyDigits),
+		recordFrom: from,
+	}
+}
+
+// begin notes a call that is due, and says whether it can be sent. Its end must follow in either case.
 func (r *recorder) begin() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.side.Sent++
-	if r.open >= mostOpen {
-		return false
-	}
 	r.open++
-	return true
+	return r.open <= mostOpen
 }
 
 // end notes a call's end.
@@ -150,6 +153,7 @@
 	defer r.mu.Unlock()
 	r.open--
 	if c.err != nil {
+		r.unanswered = r.unanswered.Plus(unansweredCall(c.err, c.due.Before(r.recordFrom)))
 		return
 	}
 	r.side.Answered++
@@ -171,7 +175,8 @@
 	millis := func(h *hdrhistogram.Histogram, quantile float64) float64 {
 		return float64(h.ValueAtQuantile(quantile)) / 1000
 	}
-	s := r.side
+	s, unanswered := r.side, r.unanswered
+	s.Unanswered = &unanswered
 	s.MedianMS, s.P99MS, s.WorstMS = millis(r.latency, 50), millis(r.latency, 99), millis(r.latency, 100)
 	s.LateP99MS = millis(r.late, 99)
 	return s
