Scale calls: each proxy of a chain is of its own tier, so only the first refuses

All proxies of the chain were told layer 0, the tier that clients reach. Only that tier refuses for want of room (a refusal further down wastes what the tiers above have done), and so each of seven proxies had an admission limit of its own. At rest it stands at 16 in flight; a call that waits 37.5 ms (0.05 of the aim, for a class that may be refused) is refused. A machine that stands for some 90 ms at 300 calls a second is enough, in any of seven processes. No operator of a chain sets it up so.

--- a/internal/rig/scale/calls/calls_test.go
+++ b/internal/rig/scale/calls/calls_test.go
@@ -17,11 +17,8 @@
 	"brasswell/internal/rig/scale/calls"
 )
 
-// asProgram is the variable that makes the test binary the program itself.
-const asProgram = "BRASSWELL_CALLS_PROGRAM"
-
 func TestMain(m *testing.M) {
-	if os.Getenv(asProgram) != "" {
+	if os.Getenv(calls.ProgramVariable) != "" {
 		os.Exit(cli.Main(context.Background(), os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
 	}
 	goleak.VerifyTestMain(m)
@@ -35,7 +32,7 @@
 	}
 	return calls.Config{
 		Rates: []float64{50}, Depths: []int{1, 7}, Pairs: 1, Length: 500 * time.Millisecond, Seed: 1, Folder: t.TempDir(),
-		Program: rig.Program{Path: self, Env: []string{asProgram + "=1"}},
+		Program: rig.Program{Path: self, Env: []string{calls.ProgramVariable + "=1"}},
 	}
 }
 
--- a/internal/rig/scale/calls/chain.go
+++ b/internal/rig/scale/calls/chain.go
@@ -84,7 +84,9 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("hop-%d", i+1)
-	text, err := c.fleet.ConfigAt(0, 1, memoryMB, sockets, standin.Place{Name: name, Listen: c.address[i], Console: console, Discovery: list, Told: told})
+	// Each proxy is of its own tier, as in a service that is called through others: only the first may refuse for want of room.
+	place := standin.Place{Name: name, Listen: c.address[i], Console: console, Discovery: list, Told: told, Layer: i}
+	text, err := c.fleet.ConfigAt(0, 1, memoryMB, sockets, place)
 	if err != nil {
 		return nil, fmt.Errorf("calls: %w", err)
 	}
--- a/internal/rig/scale/calls/drive.go
+++ b/internal/rig/scale/calls/drive.go
@@ -46,11 +46,15 @@
 	err                 error
 }
 
+// newClient is a client whose connections are its own.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: mostOpen, DisableCompression: true}, Timeout: giveUp}
+}
+
 // drive sends the load to an address, with ids that begin as told, and waits for the answers.
 func (l load) drive(ctx context.Context, address, prefix string) (callresult.Side, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: mostOpen, DisableCompression: true}
-	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport, Timeout: giveUp}
+	client := newClient()
+	defer client.CloseIdleConnections()
 	random := rand.New(rand.NewPCG(l.seed, uint64(l.rate)))
 	start := time.Now()
 	r := newRecorder(start.Add(warmUp))
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -134,6 +134,7 @@
 	Console      string // "" for none
 	Discovery    string
 	Told         func(Host) Host // how it reaches each backend; as in Discovery.ServeAs
+	Layer        int             // the tier that it sends to; 0 is the one that clients reach
 }
 
 // ConfigAt is the platform's file for one of several proxies at a place.
@@ -153,7 +154,7 @@
 		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
 		"known":  f.Discovery.whole(at.Told),
 		"settings": map[string]any{
-			"instances": instances, "me": me, "layer": 0, "discovery": "push", "zones": zones, "over_share_worth": 0.05,
+			"instances": instances, "me": me, "layer": at.Layer, "discovery": "push", "zones": zones, "over_share_worth": 0.05,
 			"request_classes": classes,
 			"limits": map[string]any{
 				"cancel": true, "max_attempts": 5, "conn_idle_ms": 5000, "connect_timeout_ms": 150,
