--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -146,6 +146,8 @@
 	going    bool      // the last call was answered: the next one goes on with a watch
 	started  time.Time
 	hangUp   context.CancelCauseFunc // of the calls that are out
+
+	freshness freshness
 }
 
 // errCutOff is what a call ends with whose answer had begun.
@@ -161,6 +163,7 @@
 // takes the addresses to dial beside the entries.
 func New(address string, zones []string, o Options, log *slog.Logger, update func(balance.ListKind, []balance.Entry, map[string]string)) *Client {
 	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}, started: time.Now()}
+	d.freshness.answered(d.started) // the list that a process starts with is of its start
 	d.seq.Store(-1)
 	for n, zone := range zones {
 		d.zones[zone] = n
@@ -342,8 +345,10 @@
 
 // answer is how one call ended.
 type answer struct {
+	call int // its number in the round
 	list *Catalog
 	err  error
+	at   time.Time
 }
 
 // ask has one question answered, and takes the answer in; it says how often discovery had moved before. A call that is
@@ -356,7 +361,7 @@
 	var (
 		answers = make(chan answer)
 		calls   sync.WaitGroup
-		made    int
+		made    outstanding
 		pending int
 		older   context.CancelFunc // gives up the last call but one
 		newest  context.CancelFunc
@@ -367,11 +372,12 @@
 	defer calls.Wait()
 	defer cancel()
 	call := func() {
-		url, overdue, wait := r.target(made)
-		if made == 1 {
+		earlier := len(made.begun)
+		url, overdue, wait := r.target(earlier)
+		if earlier == 1 {
 			d.log.Info("a call for the server list is overdue; another is made beside it")
 		}
-		if made > 0 {
+		if earlier > 0 {
 			d.client.CloseIdleConnections()
 		}
 		if older != nil {
@@ -380,13 +386,13 @@
 		}
 		timed, give := context.WithTimeout(calling, wait)
 		older, newest = newest, give
-		made++
+		number := made.begin(time.Now())
 		pending++
 		calls.Go(func() {
 			defer give()
 			list, err := d.call(timed, url)
 			select {
-			case answers <- answer{list, err}:
+			case answers <- answer{number, list, err, time.Now()}:
 			case <-calling.Done():
 			}
 		})
@@ -400,6 +406,7 @@
 			call()
 		case a := <-answers:
 			pending--
+			d.note(&made, a)
 			switch {
 			case a.err == nil:
 				cancel()
