--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -308,6 +308,7 @@
 	url         string // of the list
 	from        int64  // the version held; below 0 for none
 	hold, slack time.Duration
+	news        time.Duration // for how long the first call waits for news; at most hold
 }
 
 // round begins the next one; ctx ends with a move.
@@ -327,6 +328,7 @@
 	case d.going && !d.refused.IsZero() && time.Since(d.refused) < crowdedFor:
 		r.hold = max(r.hold, crowdedHold)
 	}
+	r.news = min(r.hold, d.freshness.left(time.Now()))
 	ctx, d.hangUp = context.WithCancelCause(ctx)
 	return r, ctx
 }
@@ -338,7 +340,7 @@
 	case r.from < 0:
 		return r.url, callWait, callWait + overlap // answered at once with the whole list, once it is its turn
 	case earlier == 0:
-		return fmt.Sprintf("%s?from=%d&hold_ms=%d", r.url, r.from, r.hold.Milliseconds()), r.hold + r.slack, r.hold + callWait
+		return fmt.Sprintf("%s?from=%d&hold_ms=%d", r.url, r.from, r.news.Milliseconds()), r.hold + r.slack, r.hold + callWait
 	}
 	return fmt.Sprintf("%s?from=%d&hold_ms=0", r.url, r.from), overlap, callWait
 }
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -16,6 +17,8 @@
 	// staleMost is for how long after that the list is not acted on. A discovery that turns all calls away for longer has itself failed,
 	// and a fleet that serves on an old list is better than one that serves nobody.
 	staleMost = 10 * time.Second
+	// answerTime is left for an answer on its way.
+	answerTime = 100 * time.Millisecond
 )
 
 // freshness knows whether the list that is held may be out of date although discovery could be reached. All methods may be called at
@@ -61,6 +64,16 @@
 	return !stale, changed
 }
 
+// left is for how long a call may wait for news so that its answer, if it is that there is none, comes before the list is stale.
+func (f *freshness) left(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.reached.After(f.current) {
+		return math.MaxInt64
+	}
+	return max(0, staleAfter-answerTime-now.Sub(f.current))
+}
+
 // Fresh says whether requests may be sent by the list that is held. They may not for some time after discovery, which is there, has
 // turned away all calls for so long that a change counts as told.
 func (d *Client) Fresh() bool {
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,7 +84,7 @@
 	s.pipes.serves.Wait()
 }
 
-var errRefusedDial = errors.New("connection refused")
+var errRefusedDial = syscall.ECONNREFUSED
 
 func (s *service) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	s.mu.Lock()
