Host tests: nothing is sent on a stale list, and no promise for what may have run

Need: the check of the list's freshness at the send is tested where it stands. Both fail without the check (served in place of refused; two attempts written).

--- a/internal/host/crossing_test.go
+++ b/internal/host/crossing_test.go
@@ -313,3 +313,67 @@
 		}
 	}
 }
+
+// listOf is a server list that may be acted on or not, as the test says.
+type listOf struct{ fresh atomic.Bool }
+
+func (l *listOf) Fresh() bool { return l.fresh.Load() }
+
+// TestNothingIsSentOnAStaleList: the list goes stale while a connection comes up. Nothing is written on it; the request is refused, and
+// what comes once the list is fresh is served.
+func TestNothingIsSentOnAStaleList(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a := newServer(t, serve)
+	defer a.close()
+	c := newCrossing(t, class(balance.SingleShot, 0), a)
+	defer c.close()
+	list := &listOf{}
+	list.fresh.Store(true)
+	c.SetServerList(list, time.Second)
+	q := c.submit(&waiter{})
+	up := await(t, "the connection", c.dials)
+	list.fresh.Store(false)
+	close(up)
+	if f := await(t, "the answer", q.Final()); f.Verdict != Refused || f.Wait != time.Second || a.took.Load() != 0 {
+		t.Errorf("%+v, %d attempts written", f, a.took.Load())
+	}
+	list.fresh.Store(true)
+	q = c.submit(&waiter{})
+	for served := false; !served; {
+		select {
+		case up := <-c.dials: // where the connection was not kept
+			close(up)
+		case f := <-q.Final():
+			served = true
+			if f.Verdict != Served {
+				t.Errorf("on a fresh list: verdict %v", f.Verdict)
+			}
+		case <-time.After(long / 2):
+			t.Fatal("no answer on a fresh list")
+		}
+	}
+}
+
+// TestAStaleListKeepsNoPromiseForWhatMayHaveRun: the first attempt may have run, and the list is stale when the second could be sent:
+// the request has failed, and is not refused as harmless.
+func TestAStaleListKeepsNoPromiseForWhatMayHaveRun(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	list := &listOf{}
+	list.fresh.Store(true)
+	breakAndTurnStale := func(conn net.Conn) { list.fresh.Store(false); breakOff(conn) }
+	a, b := newServer(t, breakAndTurnStale), newServer(t, breakAndTurnStale)
+	defer a.close()
+	defer b.close()
+	c := newCrossing(t, class(balance.Free, 0), a, b)
+	defer c.close()
+	c.SetServerList(list, 0)
+	q := c.submit(&waiter{})
+	close(await(t, "the first connection", c.dials))
+	close(await(t, "the second connection", c.dials))
+	if f := await(t, "the answer", q.Final()); f.Verdict != Failed {
+		t.Errorf("verdict %v", f.Verdict)
+	}
+	if n := a.took.Load() + b.took.Load(); n != 1 {
+		t.Errorf("%d attempts were written, want the first alone", n)
+	}
+}
