View: a message does not have all suspects looked at

Cause: Next went over all suspects, and is asked three times for each message. While a region is cut off a view has hundreds of suspects and, at 1,400 members, some 70 messages a second. Change: the view keeps when a suspicion may first end, and looks at all suspects only then.

--- a/internal/cluster/view/health.go
+++ b/internal/cluster/view/health.go
@@ -31,6 +31,7 @@
 		m.suspectedAt, m.deadElsewhere = now, false
 		v.setSuspicionDeadline(now, m)
 	}
+	v.scheduleSuspicions()
 	v.heardAt = now
 	v.trustUntil = now + 2*v.set.Period
 	v.nextPeriod = now
--- a/internal/cluster/view/suspicion.go
+++ b/internal/cluster/view/suspicion.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// never is later than any deadline.
+const never = time.Duration(math.MaxInt64)
+
 const (
 	// suspicionPeriods, times the logarithm of the number of members, is the shortest suspicion timeout, and suspicionRange times that the
 	// longest, which holds while no other member confirms the suspicion.
@@ -98,6 +101,27 @@
 		d = max(d, time.Duration(float64(least)*(1+float64(v.health)/2)))
 	}
 	m.deadline = max(m.suspectedAt+d, now) // one that is over by now is no work that was done late
+	v.suspicionDue = min(v.suspicionDue, m.deadline)
+}
+
+// endSuspicions declares those dead whose suspicion is over.
+func (v *View) endSuspicions(now time.Duration) {
+	for _, name := range v.expiredSuspects(now) {
+		if m := v.suspect[name]; m != nil {
+			v.declareDead(now, m)
+		}
+	}
+	v.scheduleSuspicions()
+}
+
+// scheduleSuspicions finds when the next suspicion ends. It looks at all suspects, of which a view has hundreds while a region is cut
+// off; with each message that would be most of a view's work.
+func (v *View) scheduleSuspicions() {
+	v.suspicionScans++
+	v.suspicionDue = never
+	for _, m := range v.suspect {
+		v.suspicionDue = min(v.suspicionDue, m.deadline)
+	}
 }
 
 // expiredSuspects are the names of the suspects whose timeout is over, in an order that does not depend on a map's.
--- a/internal/cluster/view/view.go
+++ b/internal/cluster/view/view.go
@@ -56,6 +56,10 @@
 	probesFailed bool // since the period began
 
 	// Suspicions:
+	// suspicionDue is when a suspicion may first end: no suspect's deadline is earlier; never where there is none. A suspicion that is
+	// refuted or lasts longer leaves it as it is, until Wake looks at all suspects then.
+	suspicionDue     time.Duration
+	suspicionScans   int           // how often all suspects were looked at for it
 	falseSuspicions  int           // suspicions of this process that were refuted lately
 	falseSuspicionAt time.Duration // when one of them was last forgotten, or the first one came
 	health           int           // the local health score; 0 for well
@@ -84,7 +88,7 @@
 		set: s, host: host, rng: rand.New(rand.NewPCG(seed, s.Boot)),
 		self:    Record{Name: s.Name, Boot: s.Boot, Incarnation: 1, State: Alive, Address: s.Address},
 		members: map[string]*member{}, suspect: map[string]*member{}, asked: map[uint64]pendingPing{},
-		startedAt: now, width: 1, heardAt: now, changedAt: now, backoff: 1, exchangedAt: now - exchangePeriods*s.Period,
+		startedAt: now, width: 1, suspicionDue: never, heardAt: now, changedAt: now, backoff: 1, exchangedAt: now - exchangePeriods*s.Period,
 	}
 	v.seq = v.rng.Uint64() >> 1
 	// Processes that are started together do not all probe at one time.
@@ -99,7 +103,7 @@
 
 // Next is when Wake is to be called at the latest.
 func (v *View) Next() time.Duration {
-	next := v.nextPeriod
+	next := min(v.nextPeriod, v.suspicionDue)
 	for i := range v.probes {
 		p := &v.probes[i]
 		next = min(next, p.deadline)
@@ -107,9 +111,6 @@
 			next = min(next, p.indirectAt)
 		}
 	}
-	for _, m := range v.suspect {
-		next = min(next, m.deadline)
-	}
 	return next
 }
 
@@ -133,10 +134,8 @@
 		v.probes = slices.Delete(v.probes, i, i+1)
 		v.probeFailed(now, &ended)
 	}
-	for _, name := range v.expiredSuspects(now) {
-		if m := v.suspect[name]; m != nil {
-			v.declareDead(now, m)
-		}
+	if now >= v.suspicionDue {
+		v.endSuspicions(now)
 	}
 	if now >= v.nextPeriod {
 		v.beginPeriod(now)
--- a/internal/cluster/view/view_test.go
+++ b/internal/cluster/view/view_test.go
@@ -147,6 +147,47 @@
 	}
 }
 
+// TestManySuspectsCostNoLookEach: while hundreds are suspect, as when a region is cut off, a message does not have all of them looked at;
+// each of them is dead in the end all the same.
+func TestManySuspectsCostNoLookEach(t *testing.T) {
+	const members, suspects, messages = 400, 300, 1000
+	v, _ := open(t, Settings{Most: 2 * members})
+	var table []Record
+	for i := range members {
+		table = append(table, of(fmt.Sprintf("m%d", i), 1, 1, Alive))
+	}
+	v.Merge(0, table, "m0")
+	well := table[suspects:]
+	for i := range suspects {
+		r := table[i]
+		r.State = Suspect
+		hear(v, 1, well[i%len(well)], News, r)
+	}
+	before := v.suspicionScans
+	for i := range messages {
+		hear(v, 2, well[i%len(well)], News)
+		v.Next()
+	}
+	if looks := v.suspicionScans - before; len(v.suspect) != suspects || looks > 0 {
+		t.Errorf("%d suspects were looked at %d times for %d messages", len(v.suspect), looks, messages)
+	}
+
+	before = v.suspicionScans
+	wakes := 0
+	for now := v.Next(); now < 60*p; now = v.Next() {
+		v.Wake(now)
+		wakes++
+	}
+	if looks := v.suspicionScans - before; looks > wakes {
+		t.Errorf("%d looks in %d wakes", looks, wakes)
+	}
+	for i := range suspects {
+		if held := v.Holds(table[i].Name); held != Dead {
+			t.Fatalf("%s is held %v after all suspicions are over", table[i].Name, held)
+		}
+	}
+}
+
 // TestPausedProcessAccusesNobody: one that wakes late holds its own silence against itself.
 func TestPausedProcessAccusesNobody(t *testing.T) {
 	v, d := open(t, Settings{})
@@ -335,6 +376,11 @@
 
 // check holds a view's parts against each other.
 func check(t *rapid.T, v *View) {
+	for _, m := range v.suspect {
+		if m.deadline < v.suspicionDue {
+			t.Fatalf("the suspicion of %s ends at %v, and the next one is due at %v", m.Name, m.deadline, v.suspicionDue)
+		}
+	}
 	s := v.Standing(0)
 	var digest uint64
 	for i := range s.Members {
