View: exchanges of members that differ for long do not begin in one period

Cause: views that differ begin a full exchange after 12 periods though they still change. When many members return at one moment all views begin to differ then: in the view model, 1,400 members, 127 that return cold, 1,049 of them sent their whole table in one second, 13 s after the return, and 826 again 6 s later (2.9 million records in one second). Ruled out: exchanges with the seeds, which are voters (124 in all, in the second of the return). TestExchangesAreSpread has all 120 views exchange in one period without it, 40 at most with it.

--- a/internal/cluster/view/exchange.go
+++ b/internal/cluster/view/exchange.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// quietPeriods without a change make a difference of digests one that dissemination does not settle.
-	quietPeriods = 4
+	// quietPeriods without a change make a difference of digests one that dissemination does not settle. Where the view changes on and
+	// on, one that has lasted for longPeriods is.
+	quietPeriods, longPeriods = 4, 12
 	// exchangePeriods are between two full exchanges that this process begins.
 	exchangePeriods = 6
 )
@@ -20,9 +21,10 @@
 	v.agreeing = 0
 	if v.digestsDifferSince == 0 {
 		v.digestsDifferSince = now
+		v.lateExchange = now + longPeriods*v.set.Period + v.exchangeJitter()
 	}
 	p := v.set.Period
-	quiet := now-v.changedAt > quietPeriods*p || now-v.digestsDifferSince > 3*quietPeriods*p
+	quiet := now-v.changedAt > quietPeriods*p || now > v.lateExchange
 	switch {
 	case !v.merged:
 		v.startExchange(now, p, m.From.Address) // it knows nobody yet, or nobody had the time to tell
@@ -31,6 +33,13 @@
 	}
 }
 
+// exchangeJitter is how much later than others this process begins its exchanges. When many members come at one moment, all views
+// begin to differ then, and without it all would send their whole tables in the same period. It is drawn by the process's own record,
+// so that it costs no draw from the seed.
+func (v *View) exchangeJitter() time.Duration {
+	return time.Duration(hash(&v.self) % uint64(exchangePeriods*v.set.Period))
+}
+
 // startExchange begins a full exchange, unless the last one is less than spacing ago.
 func (v *View) startExchange(now, spacing time.Duration, with string) {
 	if now-v.exchangedAt >= spacing {
--- a/internal/cluster/view/view.go
+++ b/internal/cluster/view/view.go
@@ -67,6 +67,7 @@
 
 	// Exchanges:
 	digestsDifferSince time.Duration // 0 if they agree
+	lateExchange       time.Duration // when they have differed for so long that changes do not keep this process from an exchange
 	agreeing           int           // how many messages in a row have shown the same digest
 	exchangedAt        time.Duration // when the last exchange was begun here
 	merged             bool          // an exchange has brought something
--- a/internal/cluster/view/view_test.go
+++ b/internal/cluster/view/view_test.go
@@ -188,6 +188,38 @@
 	}
 }
 
+// TestExchangesAreSpread: views that begin to differ at one moment, and change on and on, do not all send their whole tables in one
+// period for that.
+func TestExchangesAreSpread(t *testing.T) {
+	const views, periods = 120, longPeriods + exchangePeriods
+	var begun [periods + 2]int // by period
+	for i := range uint64(views) {
+		d := &desk{}
+		v, err := New(0, Settings{Name: "me", Address: "me:1", Boot: i, Period: p, Most: 100}, i, d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.Merge(0, []Record{of("a", 1, 1, Alive)}, "a")
+		for period := range begun {
+			now := time.Duration(period) * p
+			for now >= v.Next() {
+				v.Wake(now)
+			}
+			change := of(fmt.Sprintf("m%d", period), 1, 1, Alive)
+			d.exchanges = nil
+			v.Receive(now, "a:1", &Message{Kind: News, From: of("a", 1, 1, Alive), News: []Record{change}, Digest: 1})
+			begun[period] += len(d.exchanges)
+		}
+	}
+	most, all := slices.Max(begun[:]), 0
+	for _, n := range begun {
+		all += n
+	}
+	if all != views || most > views/exchangePeriods*2 {
+		t.Errorf("%d of %d begin an exchange, %d of them in one period: %v", all, views, most, begun)
+	}
+}
+
 // TestPausedProcessAccusesNobody: one that wakes late holds its own silence against itself.
 func TestPausedProcessAccusesNobody(t *testing.T) {
 	v, d := open(t, Settings{})
