--- a/internal/cluster/view/view_test.go
+++ b/internal/cluster/view/view_test.go
@@ -147,6 +147,79 @@
 	}
 }
 
+// TestManySuspectsCostNoLookEach: while hundreds are suspect, as when a region is cut off, a message does not have all of them looked at;
+// each of them is dead in the end all the same.
+func TestManySuspectsCostNoLookEach(t *testing.T) {
+	const members, suspects, messages = 400, 300, 1000
+	v, _ := open(t, Settings{Most: 2 * members})
+	var table []Record
+	for i := range members {
+		table = append(table, of(fmt.Sprintf("m%d", i), 1, 1, Alive))
+	}
+	v.Merge(0, table, "m0")
+	well := table[suspects:]
+	for i := range suspects {
+		r := table[i]
+		r.State = Suspect
+		hear(v, 1, well[i%len(well)], News, r)
+	}
+	before := v.suspicionScans
+	for i := range messages {
+		hear(v, 2, well[i%len(well)], News)
+		v.Next()
+	}
+	if looks := v.suspicionScans - before; len(v.suspect) != suspects || looks > 0 {
+		t.Errorf("%d suspects were looked at %d times for %d messages", len(v.suspect), looks, messages)
+	}
+
+	before = v.suspicionScans
+	wakes := 0
+	for now := v.Next(); now < 60*p; now = v.Next() {
+		v.Wake(now)
+		wakes++
+	}
+	if looks := v.suspicionScans - before; looks > wakes {
+		t.Errorf("%d looks in %d wakes", looks, wakes)
+	}
+	for i := range suspects {
+		if held := v.Holds(table[i].Name); held != Dead {
+			t.Fatalf("%s is held %v after all suspicions are over", table[i].Name, held)
+		}
+	}
+}
+
+// TestExchangesAreSpread: views that begin to differ at one moment, and change on and on, do not all send their whole tables in one
+// period for that.
+func TestExchangesAreSpread(t *testing.T) {
+	const views, periods = 120, longPeriods + exchangePeriods
+	var begun [periods + 2]int // by period
+	for i := range uint64(views) {
+		d := &desk{}
+		v, err := New(0, Settings{Name: "me", Address: "me:1", Boot: i, Period: p, Most: 100}, i, d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.Merge(0, []Record{of("a", 1, 1, Alive)}, "a")
+		for period := range begun {
+			now := time.Duration(period) * p
+			for now >= v.Next() {
+				v.Wake(now)
+			}
+			change := of(fmt.Sprintf("m%d", period), 1, 1, Alive)
+			d.exchanges = nil
+			v.Receive(now, "a:1", &Message{Kind: News, From: of("a", 1, 1, Alive), News: []Record{change}, Digest: 1})
+			begun[period] += len(d.exchanges)
+		}
+	}
+	most, all := slices.Max(begun[:]), 0
+	for _, n := range begun {
+		all += n
+	}
+	if all != views || most > views/exchangePeriods*2 {
+		t.Errorf("%d of %d begin an exchange, %d of them in one period: %v", all, views, most, begun)
+	}
+}
+
 // TestPausedProcessAccusesNobody: one that wakes late holds its own silence against itself.
 func TestPausedProcessAccusesNobody(t *testing.T) {
 	v, d := open(t, Settings{})
@@ -335,6 +408,11 @@
 
 // check holds a view's parts against each other.
 func check(t *rapid.T, v *View) {
+	for _, m := range v.suspect {
+		if m.deadline < v.suspicionDue {
+			t.Fatalf("the suspicion of %s ends at %v, and the next one is due at %v", m.Name, m.deadline, v.suspicionDue)
+		}
+	}
 	s := v.Standing(0)
 	var digest uint64
 	for i := range s.Members {
