--- a/internal/rig/scale/bounds.go
+++ b/internal/rig/scale/bounds.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// lowestBase and highestBase are the second bytes of addresses that may be asked for.
+	lowestBase, highestBase = 64, 250
 	// baseTries is how many bases are looked at for one whose addresses are all free.
 	baseTries = 10
 	// perHost members share a process.
@@ -30,9 +32,6 @@
 	perMemberMemory, perPairMemory = 256 << 10, 1500
 )
 
-// lowestBase and highestBase are the second bytes of addresses that runs use.
-var lowestBase, highestBase = int(loopback.ScaleRuns.First), int(loopback.ScaleRuns.Last)
-
 // checkDescriptors says whether a host may open what its members need.
 func checkDescriptors(members int) error {
 	var limit syscall.Rlimit
@@ -99,5 +98,8 @@
 	return held, nil
 }
 
-// drawBase is a second byte of addresses that leaves room for all zones.
-func drawBase(zones int) int { return lowestBase + rand.IntN(highestBase+2-zones-lowestBase) }
+// drawBase is a second byte that leaves room for all zones, of those that are for scale runs.
+func drawBase(zones int) int {
+	first, last := int(loopback.ScaleRuns.First), int(loopback.ScaleRuns.Last)+1-zones
+	return first + rand.IntN(last+1-first)
+}
--- a/internal/rig/scale/plan_test.go
+++ b/internal/rig/scale/plan_test.go
@@ -3,6 +3,9 @@
 import (
 	"math/rand/v2"
 	"testing"
+
+	"brasswell/internal/rig/hollow"
+	"brasswell/internal/rig/loopback"
 )
 
 // TestSoloMember: one hollow member has a host of its own, and it is one that no event kills or cuts off where there is such a one.
@@ -65,3 +68,15 @@
 		}
 	}
 }
+
+// TestDrawnBasesAreOfScaleRuns: all zones of a drawn base are within the range that other kinds of runs leave alone.
+func TestDrawnBasesAreOfScaleRuns(t *testing.T) {
+	for _, zones := range []int{1, 11, hollow.MostZones} {
+		for range 2000 {
+			base := drawBase(zones)
+			if base < int(loopback.ScaleRuns.First) || base+zones-1 > int(loopback.ScaleRuns.Last) {
+				t.Fatalf("%d with %d zones", base, zones)
+			}
+		}
+	}
+}
