Scale calls: the 99th from the sending on, beside that from the call's moment

A latency counts from its call's moment as before; the time from the sending on is told beside it, and the lateness printed, so that one sees what of a 99th is the caller's.

--- a/internal/cli/scale_calls.go
+++ b/internal/cli/scale_calls.go
@@ -104,11 +104,12 @@
 func (e *env) printCalls(run *callresult.Run) {
 	fmt.Fprintf(e.out, "\n%d cores, load average before %.2f; medians of %d pairs, times in ms\n", run.Host.Cores, run.LoadBefore, run.Settings.Pairs)
 	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "calls/s\tdepth\tdirect median\t99th\tproxied median\t99th\tadded at 99th\trange\tCPU us/call, proxy\tunanswered\t")
+	fmt.Fprintln(w, "calls/s\tdepth\tdirect median\t99th\tproxied median\t99th\tadded at 99th\trange\tsent late, 99th\tfrom send, direct 99th\tproxied 99th\tCPU us/call, proxy\tunanswered\t")
 	for _, c := range run.Cases {
 		s := c.Summary()
-		fmt.Fprintf(w, "%v\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f to %.2f\t%.0f\t%d\t\n", c.Rate, c.Depth, s.Direct.Median, s.Direct.P99,
-			s.Proxied.Median, s.Proxied.P99, s.Added, s.AddedLeast, s.AddedMost, s.CPUUS, s.Unanswered)
+		direct, proxied := c.FromSendP99MS()
+		fmt.Fprintf(w, "%v\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f to %.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%d\t\n", c.Rate, c.Depth, s.Direct.Median, s.Direct.P99,
+			s.Proxied.Median, s.Proxied.P99, s.Added, s.AddedLeast, s.AddedMost, s.LateP99MS, direct, proxied, s.CPUUS, s.Unanswered)
 	}
 	w.Flush()
 }
--- a/internal/rig/scale/callresult/callresult.go
+++ b/internal/rig/scale/callresult/callresult.go
@@ -69,6 +69,9 @@
 	WorstMS  float64 `json:"worst_ms"`
 	// LateP99MS is by how much calls were sent after their moment, at the 99th percentile: the caller's own lateness, part of the times above.
 	LateP99MS float64 `json:"late_p99_ms"`
+	// FromSendP99MS is the 99th percentile of the times from a call's sending, so without the caller's lateness. Only beside P99MS is it
+	// worth anything: what the caller does not send while the machine stands still is not in it. 0 in older files.
+	FromSendP99MS float64 `json:"from_send_p99_ms,omitempty"`
 	// Unanswered tells how the others of Sent than Answered ended; nil in older files.
 	Unanswered *Unanswered `json:"unanswered,omitempty"`
 }
@@ -107,6 +110,11 @@
 	return s
 }
 
+// FromSendP99MS is the median of the pairs' 99th percentiles from the sending on, direct and proxied; 0 of older files.
+func (c Case) FromSendP99MS() (direct, proxied float64) {
+	return c.median(func(p Pair) float64 { return p.Direct.FromSendP99MS }), c.median(func(p Pair) float64 { return p.Proxied.FromSendP99MS })
+}
+
 // median of one figure of the pairs.
 func (c Case) median(of func(Pair) float64) float64 {
 	var values []float64
@@ -208,6 +216,9 @@
 		if !finite(s.WorstMS) || s.MedianMS < 0 || s.MedianMS > s.P99MS || s.P99MS > s.WorstMS || s.LateP99MS < 0 || !finite(s.LateP99MS) {
 			return fmt.Errorf("%s: median %v, 99th %v, worst %v and lateness %v ms", name, s.MedianMS, s.P99MS, s.WorstMS, s.LateP99MS)
 		}
+		if s.FromSendP99MS < 0 || s.FromSendP99MS > s.WorstMS {
+			return fmt.Errorf("%s: 99th from the sending on %v, worst %v ms", name, s.FromSendP99MS, s.WorstMS)
+		}
 		if s.Unanswered == nil {
 			continue
 		}
--- a/internal/rig/scale/callresult/callresult_test.go
+++ b/internal/rig/scale/callresult/callresult_test.go
@@ -47,6 +47,12 @@
 	if got := r.Cases[0].Summary(); got != want || r.Unanswered() != 1 {
 		t.Errorf("%+v, want %+v", got, want)
 	}
+	for i, ms := range []float64{0.5, 2, 1} {
+		r.Cases[0].Pairs[i].Direct.FromSendP99MS, r.Cases[0].Pairs[i].Proxied.FromSendP99MS = ms, 2*ms
+	}
+	if direct, proxied := r.Cases[0].FromSendP99MS(); direct != 1 || proxied != 2 {
+		t.Errorf("from the sending on: %v, %v", direct, proxied)
+	}
 	even := Case{Pairs: r.Cases[0].Pairs[:2]}
 	if got := even.Summary().Proxied.P99; got != 5.5 {
 		t.Errorf("median of two: %v", got)
@@ -103,6 +109,8 @@
 		"more answered":              changed(func(r *Run) { r.Cases[0].Pairs[0].Direct.Answered = 13 }),
 		"more recorded":              changed(func(r *Run) { r.Cases[0].Pairs[0].Proxied.Recorded = 13 }),
 		"nothing sent":               changed(func(r *Run) { r.Cases[0].Pairs[0].Proxied = Side{} }),
+		"from send over worst":       changed(func(r *Run) { r.Cases[0].Pairs[0].Direct.FromSendP99MS = 100 }),
+		"negative from send":         changed(func(r *Run) { r.Cases[0].Pairs[0].Direct.FromSendP99MS = -1 }),
 		"negative median":            changed(func(r *Run) { r.Cases[0].Pairs[0].Direct.MedianMS = -1 }),
 		"99th above worst":           changed(func(r *Run) { r.Cases[0].Pairs[0].Direct.P99MS = 100 }),
 		"refused by a proxy too few": changed(func(r *Run) { r.Cases[0].Pairs[0].HopRefused = []int64{1} }),
--- a/internal/rig/scale/calls/drive.go
+++ b/internal/rig/scale/calls/drive.go
@@ -32,12 +32,13 @@
 
 // recorder adds the calls of one side up.
 type recorder struct {
-	mu            sync.Mutex
-	side          callresult.Side
-	unanswered    callresult.Unanswered
-	latency, late *hdrhistogram.Histogram
-	open          int
-	recordFrom    time.Time
+	mu         sync.Mutex
+	side       callresult.Side
+	unanswered callresult.Unanswered
+	// From the call's moment to its answer, to its sending, and from that to the answer.
+	latency, late, fromSend *hdrhistogram.Histogram
+	open                    int
+	recordFrom              time.Time
 }
 
 // call is one call's times.
@@ -136,10 +137,11 @@
 
 // newRecorder returns one that records calls which are due from a moment on.
 func newRecorder(from time.Time) *recorder {
-	return &recorder{
-		latency: hdrhistogram.New(leastLatency, mostLatency, latencyDigits), late: hdrhistogram.New(leastLatency, mostLatency, latencyDigits),
-		recordFrom: from,
-	}
+	return &recorder{latency: newHistogram(), late: newHistogram(), fromSend: newHistogram(), recordFrom: from}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(leastLatency, mostLatency, latencyDigits)
 }
 
 // begin notes a call that is due, and says whether it can be sent. Its end must follow in either case.
@@ -167,6 +169,7 @@
 	r.side.Recorded++
 	r.latency.RecordValue(micros(c.answered.Sub(c.due)))
 	r.late.RecordValue(micros(c.sent.Sub(c.due)))
+	r.fromSend.RecordValue(micros(c.answered.Sub(c.sent)))
 }
 
 // micros is a time within the histograms' range.
@@ -182,6 +185,6 @@
 	s, unanswered := r.side, r.unanswered
 	s.Unanswered = &unanswered
 	s.MedianMS, s.P99MS, s.WorstMS = millis(r.latency, 50), millis(r.latency, 99), millis(r.latency, 100)
-	s.LateP99MS = millis(r.late, 99)
+	s.LateP99MS, s.FromSendP99MS = millis(r.late, 99), millis(r.fromSend, 99)
 	return s
 }
--- a/internal/rig/scale/calls/drive_test.go
+++ b/internal/rig/scale/calls/drive_test.go
@@ -74,3 +74,17 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestLatenessIsInTheLatency: a latency counts from the call's moment, however late it was sent; what it took from then on is apart.
+func TestLatenessIsInTheLatency(t *testing.T) {
+	start := time.Now()
+	r := newRecorder(start)
+	for range 100 {
+		r.begin()
+		r.end(call{due: start, sent: start.Add(30 * time.Millisecond), answered: start.Add(50 * time.Millisecond)})
+	}
+	near := func(got, want float64) bool { return got > 0.99*want && got < 1.01*want }
+	if s := r.result(); !near(s.P99MS, 50) || !near(s.LateP99MS, 30) || !near(s.FromSendP99MS, 20) {
+		t.Errorf("99th %v, late %v, from send %v ms", s.P99MS, s.LateP99MS, s.FromSendP99MS)
+	}
+}
