Backends: a connection that is up by the end of its patience is used, however late one learns

TestServerDiesWithItsChannelsAndReturnsCold failed twice of two with GOMAXPROCS=1 and -race beside other work (load 30 to 35): 30 and 151 of 1,000 channels opened in 30 s, 14,845 and 17,623 refusals. Counted in a scratch copy: attempts ended in connect errors, though the backends were well. The patience for a connection (150 ms) ended in a process that lacked processor time before it saw that the connection was up; the kernel had it at once. A connect error ejects its server without further evidence, for 2 s and then twice as long each time, and half of two servers was out. The same befell a chain of two proxies with 80 calls at once on a machine at load 48: a 503 after 175 and 219 ms.

Now the end of the patience asks the kernel whether the socket is connected (getpeername), and calls the dial off only if not; the attempt's own time bounds it as before. Package balance is as it was.

Ruled out: full sockets (no such outcome), silent backends (3 time-outs in all).

TestAConnectionThatIsUpIsNotCalledOff and TestTheKernelIsAskedWhetherAConnectionIsUp test it; without the question to the kernel the first ends in a canceled dial.

--- /dev/null
+++ b/internal/backends/dial_test.go
@@ -0,0 +1,65 @@
+package backends
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestAConnectionThatIsUpIsNotCalledOff: where the end of the patience comes before the news that the connection is up, the dial goes on.
+func TestAConnectionThatIsUpIsNotCalledOff(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	defer ours.Close()
+	asked := make(chan bool)
+	up := func() bool { asked <- true; return true }
+	got, err := dialWithin(t.Context(), time.Millisecond, up, func(ctx context.Context) (net.Conn, error) {
+		<-asked // the patience is over
+		<-time.After(20 * time.Millisecond)
+		return ours, ctx.Err()
+	})
+	if err != nil || got != ours {
+		t.Errorf("%v, %v", got, err)
+	}
+}
+
+func TestAConnectionThatIsNotUpIsCalledOff(t *testing.T) {
+	_, err := dialWithin(t.Context(), time.Millisecond, func() bool { return false }, func(ctx context.Context) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	if !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+}
+
+// TestTheKernelIsAskedWhetherAConnectionIsUp: before it connects, once it has, and after its end.
+func TestTheKernelIsAskedWhetherAConnectionIsUp(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	d := &dialing{}
+	if d.connected() {
+		t.Error("up without a socket")
+	}
+	before := true
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		d.raw.Store(&raw)
+		before = d.connected()
+		return nil
+	}}
+	conn, err := dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	during := d.connected()
+	conn.Close()
+	if after := d.connected(); before || !during || after {
+		t.Errorf("before %v, during %v, after %v", before, during, after)
+	}
+}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -18,7 +18,7 @@
 // connection breaks, behind the balancer's back and maybe a second time.
 type Pool struct {
 	transport      *http.Transport
-	dialer         net.Dialer
+	control        func(network, address string, c syscall.RawConn) error // of each socket; may be nil
 	connectTimeout time.Duration
 	idleFor        time.Duration
 	limit          int
@@ -47,7 +47,7 @@
 // NewPool returns a pool that keeps no connections until Keep names the endpoints that are wanted.
 func NewPool(l Limits) *Pool {
 	p := &Pool{
-		dialer:         net.Dialer{Control: l.Control},
+		control:        l.Control,
 		connectTimeout: l.ConnectTimeout,
 		// A request that crosses the backend's close ends as a reset, and may have run for all we know.
 		// The fifth left is for answers that took their time to be read.
@@ -116,9 +116,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, to Endpoint) (*conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, p.connectTimeout)
-	defer cancel()
-	nc, err := p.dialer.DialContext(dialCtx, "tcp", to.Address)
+	nc, err := p.dialAddress(ctx, to.Address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/internal/backends/upgrade.go
+++ b/internal/backends/upgrade.go
@@ -31,9 +31,7 @@
 		return p.unconnected(ctx, to, err), nil
 	}
 	defer p.unreserve() // a channel counts elsewhere
-	dialCtx, cancel := context.WithTimeout(ctx, p.connectTimeout)
-	defer cancel()
-	nc, err := p.dialer.DialContext(dialCtx, "tcp", to.Address)
+	nc, err := p.dialAddress(ctx, to.Address)
 	if err != nil {
 		return p.unconnected(ctx, to, err), nil
 	}
