--- a/bench/channel_test.go
+++ b/bench/channel_test.go
@@ -28,7 +28,6 @@
 	"brasswell/internal/config"
 	"brasswell/internal/proxy"
 	"brasswell/internal/standin"
-	"brasswell/internal/standin/audit"
 )
 
 var (
@@ -436,10 +435,8 @@
 // beside requests, and counts channels' beginnings for each server.
 func TestChannelStorm(t *testing.T) {
 	const proxies = 2
-	rules := audit.DefaultRules()
-	rules.Slack, rules.AnswerSlack = 250*time.Millisecond, 500*time.Millisecond // processes that share the machine
 	fleet, err := standin.NewFleet(standin.FleetConfig{
-		Seed: 1, Backends: 8, Slots: 16, Queue: 64, WarmUp: 20 * time.Second, Visitor: "channel-", Rules: rules,
+		Seed: 1, Backends: 8, Slots: 16, Queue: 64, WarmUp: 20 * time.Second, Visitor: "channel-",
 	})
 	if err != nil {
 		t.Fatal(err)
