--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -146,8 +146,6 @@
 	going    bool      // the last call was answered: the next one goes on with a watch
 	started  time.Time
 	hangUp   context.CancelCauseFunc // of the calls that are out
-
-	freshness freshness
 }
 
 // errCutOff is what a call ends with whose answer had begun.
@@ -163,7 +161,6 @@
 // takes the addresses to dial beside the entries.
 func New(address string, zones []string, o Options, log *slog.Logger, update func(balance.ListKind, []balance.Entry, map[string]string)) *Client {
 	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}, started: time.Now()}
-	d.freshness.answered(d.started) // the list that a process starts with is of its start
 	d.seq.Store(-1)
 	for n, zone := range zones {
 		d.zones[zone] = n
@@ -308,7 +305,6 @@
 	url         string // of the list
 	from        int64  // the version held; below 0 for none
 	hold, slack time.Duration
-	news        time.Duration // for how long the first call waits for news; at most hold
 }
 
 // round begins the next one; ctx ends with a move.
@@ -328,7 +324,6 @@
 	case d.going && !d.refused.IsZero() && time.Since(d.refused) < crowdedFor:
 		r.hold = max(r.hold, crowdedHold)
 	}
-	r.news = min(r.hold, d.freshness.left(time.Now()))
 	ctx, d.hangUp = context.WithCancelCause(ctx)
 	return r, ctx
 }
@@ -340,17 +335,15 @@
 	case r.from < 0:
 		return r.url, callWait, callWait + overlap // answered at once with the whole list, once it is its turn
 	case earlier == 0:
-		return fmt.Sprintf("%s?from=%d&hold_ms=%d", r.url, r.from, r.news.Milliseconds()), r.hold + r.slack, r.hold + callWait
+		return fmt.Sprintf("%s?from=%d&hold_ms=%d", r.url, r.from, r.hold.Milliseconds()), r.hold + r.slack, r.hold + callWait
 	}
 	return fmt.Sprintf("%s?from=%d&hold_ms=0", r.url, r.from), overlap, callWait
 }
 
 // answer is how one call ended.
 type answer struct {
-	call int // its number in the round
 	list *Catalog
 	err  error
-	at   time.Time
 }
 
 // ask has one question answered, and takes the answer in; it says how often discovery had moved before. A call that is
@@ -363,7 +356,7 @@
 	var (
 		answers = make(chan answer)
 		calls   sync.WaitGroup
-		made    outstanding
+		made    int
 		pending int
 		older   context.CancelFunc // gives up the last call but one
 		newest  context.CancelFunc
@@ -374,12 +367,11 @@
 	defer calls.Wait()
 	defer cancel()
 	call := func() {
-		earlier := len(made.begun)
-		url, overdue, wait := r.target(earlier)
-		if earlier == 1 {
+		url, overdue, wait := r.target(made)
+		if made == 1 {
 			d.log.Info("a call for the server list is overdue; another is made beside it")
 		}
-		if earlier > 0 {
+		if made > 0 {
 			d.client.CloseIdleConnections()
 		}
 		if older != nil {
@@ -388,13 +380,13 @@
 		}
 		timed, give := context.WithTimeout(calling, wait)
 		older, newest = newest, give
-		number := made.begin(time.Now())
+		made++
 		pending++
 		calls.Go(func() {
 			defer give()
 			list, err := d.call(timed, url)
 			select {
-			case answers <- answer{number, list, err, time.Now()}:
+			case answers <- answer{list, err}:
 			case <-calling.Done():
 			}
 		})
@@ -408,7 +400,6 @@
 			call()
 		case a := <-answers:
 			pending--
-			d.note(&made, a)
 			switch {
 			case a.err == nil:
 				cancel()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,10 +78,8 @@
 	channels Channels      // nil where there are none
 	gate     Gate          // nil where no rules are agreed on
 	door     Door          // nil where all are let in
-	list     ServerList    // nil where the list that is held may always be acted on
 	lost     time.Duration // no start of a server before it is believed; 0 for any
 	gateWait time.Duration
-	listWait time.Duration
 	log      *slog.Logger
 
 	mu       sync.Mutex
@@ -122,13 +120,6 @@
 	Rule(server string, class int, again bool) (rules.Ruling, rules.Ground)
 }
 
-// ServerList says how far the server list can be relied on. The call comes while the instance is locked, so it may not block or call
-// back.
-type ServerList interface {
-	// Fresh says whether the list that is held may be acted on now.
-	Fresh() bool
-}
-
 // Caller is who waits for a request's answer. Gone is asked while the instance is locked, so it may not block.
 type Caller interface {
 	// Gone says whether it has given the request up, also where nobody has read so from its connection yet.
@@ -159,14 +150,6 @@
 	i.gate, i.gateWait = g, wait
 }
 
-// SetServerList is for an instance that has taken nothing on yet. Callers whose requests are not sent for want of a fresh list are asked
-// to stay away for so long; 0 for no advice.
-func (i *Instance) SetServerList(l ServerList, wait time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.list, i.listWait = l, wait
-}
-
 // Agreed takes in which servers are out at all proxies, and which share of their quotas tenants have.
 func (i *Instance) Agreed(bans map[string]rules.Ban, quota float64) {
 	i.mu.Lock()
@@ -381,10 +364,6 @@
 	if wanted && a.request.message.Offer != nil {
 		wanted = i.channels.MayOpen(a.to.Server)
 	}
-	if wanted && i.list != nil && !i.list.Fresh() {
-		wanted = false // any of the servers may drain or be gone
-		i.giveUp(a, i.listWait)
-	}
 	if wanted && i.gate != nil {
 		wanted = i.allowed(a)
 	}
@@ -407,11 +386,16 @@
 }
 
 // allowed asks the agreed rules right before an attempt's first byte: the process may have been paused since it was decided. What
-// they forbid at any server is given up at once; mu is held.
+// they forbid at any server is given up at once, harmlessly if nothing of it may have run; mu is held.
 func (i *Instance) allowed(a *attempt) bool {
-	again, _ := a.others()
+	q := a.request
+	again, out := false, false
+	for _, b := range q.attempts {
+		again = again || b != a && b.begun && !b.unrun
+		out = out || b != a && b.begun && !b.over
+	}
 	var ruling rules.Ruling
-	ruling, a.ground = i.gate.Rule(a.to.Server, a.request.message.Class, again)
+	ruling, a.ground = i.gate.Rule(a.to.Server, q.message.Class, again)
 	a.asked = i.now()
 	switch ruling {
 	case rules.Allowed:
@@ -419,34 +403,17 @@
 	case rules.Banned:
 		return false // another server may do
 	}
-	i.giveUp(a, i.gateWait)
-	return false
-}
-
-// others says whether another attempt of the same request may have run, and whether one is still out; mu is held.
-func (a *attempt) others() (ran, out bool) {
-	for _, b := range a.request.attempts {
-		ran = ran || b != a && b.begun && !b.unrun
-		out = out || b != a && b.begun && !b.over
-	}
-	return ran, out
-}
-
-// giveUp ends the request of an attempt that may be sent to no server, harmlessly if nothing of it may have run. One that is still out
-// may serve it, and is waited for; mu is held.
-func (i *Instance) giveUp(a *attempt, wait time.Duration) {
-	q := a.request
-	ran, out := a.others()
 	if out {
-		return
+		return false // an earlier one is still out, and may serve it
 	}
-	f := Final{Verdict: Refused, Wait: wait}
-	if ran {
+	f := Final{Verdict: Refused, Wait: i.gateWait}
+	if again {
 		f = Final{Verdict: Failed}
 	}
 	i.traceUnserved(q, f.Verdict)
 	q.answer(f)
 	i.balancer.Dropped(i.now(), q.id)
+	return false
 }
 
 // Started passes on an answer that streams, and says whether somebody takes it. From here on no time ends the attempt.
