Discovery: who is turned away after a move pauses as after any refusal

Beside it, each that had an answer went on with watches of 1 s for 4 s after its move. Change: a refusal after a move is followed by the same random pause of 0 to 1.2 s as any other; calls are short only until the first answer at the new address. TestUnheardAfterAMove asked for an answer within 0.4 s of there being room, by asking every 200 ms, which is the fault; it asks now for one within a pause, 1.2 s, and for at most 12 calls in 6 s in the mean (30 before). Both new checks fail without the change.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -28,8 +28,9 @@
 	// that are out the older one is given up for a third, which leaves each that does not hold its callWait. A silent
 	// call cannot be told from one that waits in line; to give it up for the next one would lose the place each time.
 	overlap = callWait / 2
-	// moveSettle is how long after a move to another address all calls are short and are repeated after
-	// movePause when they fail: all that there is to tell counts as told 4 s after the move.
+	// moveSettle is how long after a move to another address calls are repeated after movePause when they fail, and, until one is
+	// answered, are short: all that there is to tell counts as told 4 s after the move. Who is turned away waits as long as others that
+	// are: a fleet that asks again every movePause keeps discovery from answering anybody.
 	moveSettle = 4 * time.Second
 	moveHold   = time.Second
 	movePause  = 200 * time.Millisecond
@@ -40,7 +41,7 @@
 	// wait for up to 3 s.
 	moveCrowdedSlack = 2100 * time.Millisecond
 	// moveStarved is for how long after a move a proxy that has had no answer at the new address goes on asking as after a move: who has
-	// waited longest must not ask less often than who comes last.
+	// waited longest does not wait for the balancer's back-off as well.
 	moveStarved = 8 * time.Second
 	// turnedAwayMost is the longest that is waited after a call that discovery had no room for, beside what the balancer
 	// waits: who asks again at once keeps the line full, for all that ask.
@@ -226,10 +227,11 @@
 		case errors.Is(err, errMoved):
 			continue
 		case d.settling():
+			pause := movePause
 			if errors.Is(err, errTurnedAway) {
-				d.turnedAway(0)
+				pause = d.turnedAway(time.Since(asked))
 			}
-			sleep(ctx, movePause)
+			sleep(ctx, pause)
 			continue
 		case errors.Is(err, errCutOff) && !again:
 			again = true
@@ -316,6 +318,7 @@
 		moves: d.moves, url: "http://" + d.address + "/catalog/members", from: d.seq.Load(),
 		hold: d.options.Hold, slack: d.options.Slack,
 	}
+	settling = settling && d.unheard // an answer since the move has told all that there was
 	switch {
 	case settling && d.refused.After(d.movedAt):
 		r.hold, r.slack = moveHold, moveCrowdedSlack
