--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -121,6 +121,13 @@
 	return fmt.Errorf("rig: %s ended before it was ready: %s; it said: %s", p.name, p.status, strings.Join(p.said, " | "))
 }
 
+// notReady is the error of a process that runs and does not take clients: why it is not waited for, and what it said last.
+func (p *process) notReady(err error) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Errorf("rig: %s is not ready: %w; it said: %s", p.name, err, strings.Join(p.said, " | "))
+}
+
 // signal sends a signal to the process, if it is there.
 func (p *process) signal(s syscall.Signal) error {
 	p.mu.Lock()
@@ -292,7 +299,7 @@
 		case <-ended:
 			return p.endedEarly()
 		case <-ctx.Done():
-			return fmt.Errorf("rig: %s is not ready: %w", p.name, ctx.Err())
+			return p.notReady(ctx.Err())
 		case <-time.After(5 * time.Millisecond):
 		}
 	}
--- a/internal/rig/server.go
+++ b/internal/rig/server.go
@@ -8,19 +8,13 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"brasswell/internal/rig/procfs"
 )
 
 // Server is one process of the program that serves alone, without a story, for measurements.
-type Server struct {
-	at *process
-
-	mu   sync.Mutex
-	said string // its last line
-}
+type Server struct{ at *process }
 
 // StartServer starts `brasswell run` with a platform file, which names the console, and returns once it takes clients. Its files are
 // kept in the folder, which must be its own.
@@ -29,11 +23,10 @@
 	if err := os.WriteFile(path, platform, 0o600); err != nil {
 		return nil, fmt.Errorf("rig: %w", err)
 	}
-	s := &Server{}
-	s.at = &process{
-		program: program, name: name, folder: folder, temporary: folder, console: console, lines: s.line,
+	s := &Server{&process{
+		program: program, name: name, folder: folder, temporary: folder, console: console, lines: func(_, _ string) {},
 		args: []string{"run"}, env: []string{"RELAY_CONFIG=" + path},
-	}
+	}}
 	if err := s.at.start(); err != nil {
 		return nil, err
 	}
@@ -41,20 +34,11 @@
 	defer cancel()
 	if err := s.at.ready(ctx); err != nil {
 		s.at.kill()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return nil, fmt.Errorf("%w; it said last: %q", err, s.said)
+		return nil, err
 	}
 	return s, nil
 }
 
-// line takes in a line that the process has said.
-func (s *Server) line(_, text string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.said = text
-}
-
 // Close ends the process at once.
 func (s *Server) Close() error { return s.at.kill() }
 
