Loopback: networks, their addresses and the draws for a free one stand once

The change wrote the same address arithmetic and the same loop of ten draws for rigs and for chains, beside the one that scale runs had. loopback.Network and UntilFree serve all three. Tests are renamed where they name a network; what they ask is as it was. A scale run no longer draws anew after an error that is not a taken address.

--- a/internal/rig/loopback/loopback.go
+++ b/internal/rig/loopback/loopback.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"syscall"
 )
 
 // Range is the second bytes of the addresses that one kind of run draws from, both ends included.
@@ -23,6 +24,28 @@
 // Draw is a second byte of the range.
 func (r Range) Draw() byte { return r.First + byte(rand.IntN(int(r.Last)-int(r.First)+1)) }
 
+// Network is the second and third bytes of the addresses of a run.
+type Network struct{ Second, Third byte }
+
+// Address is that of one of its processes, from 0 on, at a port.
+func (n Network) Address(process int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n.Second, n.Third, byte(process + 1)}), port)
+}
+
+// Tries is how often a place is drawn for one whose addresses are all free.
+const Tries = 10
+
+// UntilFree calls place, which draws a place and takes it, until that fails for another reason than an address that is taken, or Tries
+// times.
+func UntilFree(place func() error) error {
+	for try := 1; ; try++ {
+		err := place()
+		if err == nil || try == Tries || !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+}
+
 // TakenError is that of an address at which something listens already.
 type TakenError struct {
 	Address netip.AddrPort
--- a/internal/rig/place.go
+++ b/internal/rig/place.go
@@ -2,14 +2,12 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 
 	"brasswell/internal/rig/loopback"
@@ -19,18 +17,15 @@
 
 // settle draws networks until the members can be placed in one.
 func (r *Rig) settle(draw func() network) error {
-	for try := 1; ; try++ {
+	return loopback.UntilFree(func() error {
 		err := r.place(draw())
-		if err == nil {
-			return nil
-		}
-		r.board.Close()
-		r.letGo()
-		if try == placeTries || !errors.Is(err, syscall.EADDRINUSE) {
-			return err
+		if err != nil {
+			r.board.Close()
+			r.letGo()
+			r.board = NewSwitchboard(r.config.Story.Seed)
 		}
-		r.board = NewSwitchboard(r.config.Story.Seed)
-	}
+		return err
+	})
 }
 
 // letGo closes the sockets that are held in the platform's stead.
@@ -42,27 +37,24 @@
 	}
 }
 
-// network is the second and third bytes of the addresses of a rig's members; their public ones have the next third byte.
-type network struct{ second, third byte }
+// network is that of a rig's members; their public addresses have the next third byte.
+type network struct{ loopback.Network }
 
 // drawNetwork is one that another rig may have by a rare chance, which place finds.
-func drawNetwork() network { return network{loopback.Rigs.Draw(), byte(2 * rand.IntN(125))} }
-
-// real is where a member itself listens.
-func (n network) real(member int, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n.second, n.third, byte(member + 1)}), port)
+func drawNetwork() network {
+	return network{loopback.Network{Second: loopback.Rigs.Draw(), Third: byte(2 * rand.IntN(125))}}
 }
 
 // public is where others send a member's fleet messages.
 func (n network) public(member int) netip.AddrPort {
-	return network{n.second, n.third + 1}.real(member, fleetPort)
+	return loopback.Network{Second: n.Second, Third: n.Third + 1}.Address(member, fleetPort)
 }
 
 // checkFree says whether a member can listen at all of its addresses.
 func (n network) checkFree(member int) error {
 	var addresses []netip.AddrPort
 	for _, port := range []uint16{fleetPort, consolePort, proxyPort, oddConsolePort, evenConsolePort} {
-		addresses = append(addresses, n.real(member, port))
+		addresses = append(addresses, n.Address(member, port))
 	}
 	if err := loopback.CheckFree(addresses); err != nil {
 		return fmt.Errorf("rig: %w", err)
@@ -90,7 +82,7 @@
 
 // placeMember gives one member its addresses, and writes its files.
 func (r *Rig) placeMember(n network, i int, name string) (*member, error) {
-	real, public := n.real(i, fleetPort), n.public(i)
+	real, public := n.Address(i, fleetPort), n.public(i)
 	if err := r.board.Member(name, public, real); err != nil {
 		return nil, err
 	}
@@ -103,9 +95,9 @@
 	if err := os.MkdirAll(own, 0o700); err != nil {
 		return nil, fmt.Errorf("rig: %w", err)
 	}
-	m := &member{name: name, address: n.real(i, proxyPort).String(), real: real.String(), public: public.String()}
+	m := &member{name: name, address: n.Address(i, proxyPort).String(), real: real.String(), public: public.String()}
 	m.at = &process{
-		program: r.config.Program, name: name, folder: own, console: n.real(i, consolePort).String(), lines: r.line,
+		program: r.config.Program, name: name, folder: own, console: n.Address(i, consolePort).String(), lines: r.line,
 		temporary: r.temporary, args: []string{"run", "-c", operatorFile}, env: []string{"RELAY_CONFIG=" + platformFile},
 	}
 	if err := r.writePlatformFile(i, m, platformFile); err != nil {
--- a/internal/rig/place_test.go
+++ b/internal/rig/place_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"brasswell/internal/rig/loopback"
 	"brasswell/internal/rig/story"
 )
 
@@ -38,7 +39,7 @@
 // TestTakenNetworkIsDrawnAnew: where something listens at any address of a member, its own or its public one, the rig takes another
 // network, before it starts a process.
 func TestTakenNetworkIsDrawnAnew(t *testing.T) {
-	n := network{second: 63, third: 2 * byte(1+time.Now().UnixNano()%100)} // where no rig draws
+	n := network{loopback.Network{Second: 63, Third: 2 * byte(1+time.Now().UnixNano()%100)}} // where no rig draws
 	overTCP := func(address netip.AddrPort) (io.Closer, error) {
 		return net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address))
 	}
@@ -49,12 +50,12 @@
 		address netip.AddrPort
 		listen  func(netip.AddrPort) (io.Closer, error)
 	}{
-		"fleet, UDP":            {n.real(1, fleetPort), overUDP},
-		"fleet, TCP":            {n.real(1, fleetPort), overTCP},
-		"console":               {n.real(1, consolePort), overTCP},
-		"console of an upgrade": {n.real(0, evenConsolePort), overTCP},
-		"the next one's":        {n.real(0, oddConsolePort), overTCP},
-		"proxy":                 {n.real(1, proxyPort), overTCP},
+		"fleet, UDP":            {n.Address(1, fleetPort), overUDP},
+		"fleet, TCP":            {n.Address(1, fleetPort), overTCP},
+		"console":               {n.Address(1, consolePort), overTCP},
+		"console of an upgrade": {n.Address(0, evenConsolePort), overTCP},
+		"the next one's":        {n.Address(0, oddConsolePort), overTCP},
+		"proxy":                 {n.Address(1, proxyPort), overTCP},
 		"public":                {n.public(1), overUDP},
 		"public, TCP":           {n.public(1), overTCP},
 	} {
@@ -73,7 +74,7 @@
 			}); err != nil {
 				t.Fatal(err)
 			}
-			if len(drawn) < 3 || len(r.members) != 2 || slices.ContainsFunc(r.members, func(m *member) bool { return m.real == n.real(0, fleetPort).String() }) {
+			if len(drawn) < 3 || len(r.members) != 2 || slices.ContainsFunc(r.members, func(m *member) bool { return m.real == n.Address(0, fleetPort).String() }) {
 				t.Errorf("%d networks drawn, %d members; the first is at %s", len(drawn)-1, len(r.members), r.members[0].real)
 			}
 		})
@@ -88,7 +89,7 @@
 		t.Fatal(err)
 	}
 	tries := 0
-	if err := second.settle(func() network { tries++; return held }); !errors.Is(err, syscall.EADDRINUSE) || tries != placeTries {
+	if err := second.settle(func() network { tries++; return held }); !errors.Is(err, syscall.EADDRINUSE) || tries != loopback.Tries {
 		t.Errorf("%v after %d tries", err, tries)
 	}
 	first.board.Close()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -32,8 +32,6 @@
 	fleetPort, consolePort, proxyPort = 17946, 17947, 17948
 	// The console of an upgraded member is at one of these in turn.
 	oddConsolePort, evenConsolePort = 17949, 17950
-	// placeTries is how many networks are drawn for one whose addresses are all free.
-	placeTries = 10
 	// readyTime bounds the start of all processes together.
 	readyTime = 30 * time.Second
 	// patience bounds the end of a process that was asked to end.
@@ -127,6 +125,7 @@
 		return nil, err
 	}
 	if err := r.settle(drawNetwork); err != nil {
+		r.board.Close()
 		return nil, errors.Join(err, r.fleet.Close(), os.RemoveAll(r.temporary))
 	}
 	return r, nil
--- a/internal/rig/scale/bounds.go
+++ b/internal/rig/scale/bounds.go
@@ -16,8 +16,6 @@
 const (
 	// lowestBase and highestBase are the second bytes of addresses that may be asked for.
 	lowestBase, highestBase = 64, 250
-	// baseTries is how many bases are looked at for one whose addresses are all free.
-	baseTries = 10
 	// perHost members share a process.
 	perHost = 100
 	// mostProcesses of a run, this one not counted.
--- a/internal/rig/scale/calls/chain.go
+++ b/internal/rig/scale/calls/chain.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"brasswell/internal/rig"
@@ -20,8 +19,6 @@
 const (
 	// The ports of each proxy, on an address of its own, below those that the kernel gives out.
 	consolePort, proxyPort = 17947, 17948
-	// placeTries is how many networks are drawn for one whose addresses are all free.
-	placeTries = 10
 	// The backend takes all calls at once, so that it adds the same to both sides.
 	slots = 4096
 	// The limits of each proxy, as of one of a fleet.
@@ -42,7 +39,7 @@
 type chain struct {
 	fleet   *standin.Fleet
 	proxies []*rig.Server
-	network network
+	network loopback.Network
 	claim   *loopback.Claim // of the network; nil before it is placed
 }
 
@@ -67,40 +64,29 @@
 	return c, nil
 }
 
-// network is the second and third bytes of the proxies' addresses.
-type network struct{ second, third byte }
-
-func drawNetwork() network { return network{loopback.Chains.Draw(), byte(rand.IntN(250))} }
-
-// address is that of one proxy at a port.
-func (n network) address(proxy int, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n.second, n.third, byte(proxy + 1)}), port)
+func drawNetwork() loopback.Network {
+	return loopback.Network{Second: loopback.Chains.Draw(), Third: byte(rand.IntN(250))}
 }
 
 // claimAddress is one that no proxy has: who runs a chain in the network listens there.
-func (n network) claimAddress() netip.AddrPort {
-	const last = 254
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n.second, n.third, last}), proxyPort)
+func claimAddress(n loopback.Network) netip.AddrPort {
+	const beyondAll = 253
+	return n.Address(beyondAll, proxyPort)
 }
 
 // place draws networks until the proxies can listen in one, and holds it against other chains.
-func (c *chain) place(draw func() network) error {
-	for try := 1; ; try++ {
-		err := c.placeAt(draw())
-		if err == nil || try == placeTries || !errors.Is(err, syscall.EADDRINUSE) {
-			return err
-		}
-	}
+func (c *chain) place(draw func() loopback.Network) error {
+	return loopback.UntilFree(func() error { return c.placeAt(draw()) })
 }
 
-func (c *chain) placeAt(n network) error {
-	claim, err := loopback.NewClaim([]netip.AddrPort{n.claimAddress()})
+func (c *chain) placeAt(n loopback.Network) error {
+	claim, err := loopback.NewClaim([]netip.AddrPort{claimAddress(n)})
 	if err != nil {
 		return fmt.Errorf("calls: %w", err)
 	}
 	var addresses []netip.AddrPort
 	for i := range c.proxies {
-		addresses = append(addresses, n.address(i, proxyPort), n.address(i, consolePort))
+		addresses = append(addresses, n.Address(i, proxyPort), n.Address(i, consolePort))
 	}
 	if err := loopback.CheckFree(addresses); err != nil {
 		return errors.Join(fmt.Errorf("calls: %w", err), claim.Release())
@@ -116,7 +102,7 @@
 	}
 	told := func(h standin.Host) standin.Host {
 		if i+1 < len(c.proxies) {
-			h.Dial = c.network.address(i+1, proxyPort).String()
+			h.Dial = c.network.Address(i+1, proxyPort).String()
 		}
 		return h
 	}
@@ -126,7 +112,7 @@
 	}
 	name := fmt.Sprintf("hop-%d", i+1)
 	// Each proxy is of its own tier, as in a service that is called through others: only the first may refuse for want of room.
-	listen, console := c.network.address(i, proxyPort).String(), c.network.address(i, consolePort).String()
+	listen, console := c.network.Address(i, proxyPort).String(), c.network.Address(i, consolePort).String()
 	place := standin.Place{Name: name, Listen: listen, Console: console, Discovery: list, Told: told, Layer: i}
 	text, err := c.fleet.ConfigAt(0, 1, memoryMB, sockets, place)
 	if err != nil {
@@ -137,7 +123,7 @@
 
 // backend is the address of the backend, and first that of the first proxy.
 func (c *chain) backend() string { return c.fleet.Backends[0].Address() }
-func (c *chain) first() string   { return c.network.address(0, proxyPort).String() }
+func (c *chain) first() string   { return c.network.Address(0, proxyPort).String() }
 
 // usage is what one proxy has done so far.
 type usage struct {
--- a/internal/rig/scale/calls/chain_test.go
+++ b/internal/rig/scale/calls/chain_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"brasswell/internal/rig"
+	"brasswell/internal/rig/loopback"
 )
 
 // TestTakenNetworkIsDrawnAnew: a chain does not go where another stands, nor where something listens at one of its addresses.
@@ -16,18 +17,18 @@
 		t.Fatal(err)
 	}
 	tries := 0
-	if err := second.place(func() network { tries++; return first.network }); !errors.Is(err, syscall.EADDRINUSE) || tries != placeTries {
+	if err := second.place(func() loopback.Network { tries++; return first.network }); !errors.Is(err, syscall.EADDRINUSE) || tries != loopback.Tries {
 		t.Errorf("beside another chain: %v after %d tries", err, tries)
 	}
 	if err := first.claim.Release(); err != nil {
 		t.Fatal(err)
 	}
-	taken, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(first.network.address(1, consolePort)))
+	taken, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(first.network.Address(1, consolePort)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	draws := []network{first.network}
-	if err := second.place(func() network {
+	draws := []loopback.Network{first.network}
+	if err := second.place(func() loopback.Network {
 		next := draws[len(draws)-1]
 		draws = append(draws, drawNetwork())
 		return next
@@ -37,7 +38,7 @@
 	if err := errors.Join(taken.Close(), second.claim.Release()); err != nil {
 		t.Fatal(err)
 	}
-	if err := second.place(func() network { return first.network }); err != nil {
+	if err := second.place(func() loopback.Network { return first.network }); err != nil {
 		t.Errorf("once all is free: %v", err)
 	} else if err := second.claim.Release(); err != nil {
 		t.Error(err)
--- a/internal/rig/scale/calls/tiers_test.go
+++ b/internal/rig/scale/calls/tiers_test.go
@@ -39,7 +39,7 @@
 	client := newClient()
 	defer client.CloseIdleConnections()
 	for range goes {
-		if err = arriveTogether(t.Context(), client, chain.network.address(depth-1, proxyPort).String(), backend); err == nil {
+		if err = arriveTogether(t.Context(), client, chain.network.Address(depth-1, proxyPort).String(), backend); err == nil {
 			return
 		}
 	}
--- a/internal/rig/scale/setup.go
+++ b/internal/rig/scale/setup.go
@@ -7,6 +7,7 @@
 
 	"brasswell/internal/cluster/rules"
 	"brasswell/internal/rig/hollow"
+	"brasswell/internal/rig/loopback"
 )
 
 // prepare checks the machine's bounds, and places the members.
@@ -36,16 +37,11 @@
 }
 
 // place finds addresses that are free, and holds them for this run.
-func (r *run) place() (err error) {
+func (r *run) place() error {
 	if base := r.config.Base; base != 0 {
 		return r.placeAt(base)
 	}
-	for range baseTries {
-		if err = r.placeAt(drawBase(r.config.Zones)); err == nil {
-			return nil
-		}
-	}
-	return err
+	return loopback.UntilFree(func() error { return r.placeAt(drawBase(r.config.Zones)) })
 }
 
 func (r *run) placeAt(base int) error {
