Bench: list sizes, processor time and free addresses stand once in the control benchmarks

Both benchmarks repeated the walk over list sizes and the report of processor time, and BenchmarkStart the draw of a free address.

--- a/bench/control_test.go
+++ b/bench/control_test.go
@@ -32,46 +32,55 @@
 //
 //	go test ./bench -run - -bench 'DiscoveryChange|Scrape' -benchtime 500x
 func BenchmarkDiscoveryChange(b *testing.B) {
-	binary := build(b)
-	for _, size := range listSizes {
-		b.Run(fmt.Sprintf("backends=%d", size), func(b *testing.B) {
-			fleet, server := startControlled(b, binary, size)
-			rest := processorTime(b, server)
-			time.Sleep(restTime)
-			before := processorTime(b, server)
-			listed := size
-			for i := 0; b.Loop(); i++ {
-				health := "removed"
-				if i%2 == 1 {
-					health = "up"
-				}
-				fleet.List(i/2%size, health)
-				time.Sleep(changePause)
-				listed = size - 1 + i%2
+	perListSize(b, func(b *testing.B, size int, fleet *standin.Fleet, server *rig.Server) {
+		rest := processorTime(b, server)
+		time.Sleep(restTime)
+		before := processorTime(b, server)
+		listed := size
+		for i := 0; b.Loop(); i++ {
+			health := "removed"
+			if i%2 == 1 {
+				health = "up"
 			}
-			awaitFigure(b, server, sizeFigure, int64(listed))
-			b.ReportMetric(100*(before-rest).Seconds()/restTime.Seconds(), "rest-%core")
-			b.ReportMetric(float64((processorTime(b, server)-before).Microseconds())/float64(b.N), "proxy-cpu-us/op")
-			b.ReportMetric(float64(server.ResidentMemory())/(1<<20), "resident-MiB")
-		})
-	}
+			fleet.List(i/2%size, health)
+			time.Sleep(changePause)
+			listed = size - 1 + i%2
+		}
+		awaitFigure(b, server, sizeFigure, int64(listed))
+		b.ReportMetric(100*(before-rest).Seconds()/restTime.Seconds(), "rest-%core")
+		reportProcessorTime(b, server, before)
+		b.ReportMetric(float64(server.ResidentMemory())/(1<<20), "resident-MiB")
+	})
 }
 
 // BenchmarkScrape measures what a proxy process spends on one call for its figures.
 func BenchmarkScrape(b *testing.B) {
+	perListSize(b, func(b *testing.B, _ int, _ *standin.Fleet, server *rig.Server) {
+		before := processorTime(b, server)
+		for b.Loop() {
+			figure(b, server, sizeFigure)
+		}
+		reportProcessorTime(b, server, before)
+	})
+}
+
+// perListSize measures proxies with lists of all listSizes.
+func perListSize(b *testing.B, measure func(b *testing.B, size int, fleet *standin.Fleet, server *rig.Server)) {
 	binary := build(b)
 	for _, size := range listSizes {
 		b.Run(fmt.Sprintf("backends=%d", size), func(b *testing.B) {
-			_, server := startControlled(b, binary, size)
-			before := processorTime(b, server)
-			for b.Loop() {
-				figure(b, server, sizeFigure)
-			}
-			b.ReportMetric(float64((processorTime(b, server)-before).Microseconds())/float64(b.N), "proxy-cpu-us/op")
+			fleet, server := startControlled(b, binary, size)
+			measure(b, size, fleet, server)
 		})
 	}
 }
 
+// reportProcessorTime reports what a proxy has used since before, for each operation.
+func reportProcessorTime(b *testing.B, server *rig.Server, before time.Duration) {
+	b.Helper()
+	b.ReportMetric(float64((processorTime(b, server)-before).Microseconds())/float64(b.N), "proxy-cpu-us/op")
+}
+
 // startControlled starts stand-in backends and one proxy before them, which end with the benchmark.
 func startControlled(b *testing.B, binary string, backends int) (*standin.Fleet, *rig.Server) {
 	b.Helper()
--- a/bench/start_test.go
+++ b/bench/start_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,12 +24,7 @@
 	if binary == "" {
 		binary = build(b)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	address := l.Addr().String()
-	l.Close()
+	address := freeAddress(b)
 	config := filepath.Join(b.TempDir(), "config.json")
 	text, err := json.Marshal(map[string]any{
 		"listen": address, "discovery": "127.0.0.1:1", "seed": "1",
