--- a/internal/rig/soak/act.go
+++ b/internal/rig/soak/act.go
@@ -15,7 +15,7 @@
 		who = r.fleet.Backends[e.Backend].State().ID
 		r.note(who, string(e.Do))
 		err = r.actOnBackend(ctx, e, who)
-	case SpoilCalls, GoDown:
+	case SpoilCalls, GoDown, ResetWatches:
 		who = "discovery"
 		r.note(who, fmt.Sprintf("%s %+v %v for %v", e.Do, e.Mix, e.Call, e.For))
 		r.actOnDiscovery(ctx, e)
@@ -100,6 +100,8 @@
 		r.fleet.Discovery.EndWatches()
 		sleep(ctx, e.For)
 		r.setDown(nil)
+	case ResetWatches:
+		r.fleet.Discovery.ResetWatches()
 	}
 }
 
--- a/internal/rig/soak/plan.go
+++ b/internal/rig/soak/plan.go
@@ -68,6 +68,7 @@
 	Reload        Action = "reload"        // SIGHUP with another address of discovery
 	SpoilCalls    Action = "spoil-calls"   // as Mix says, for a while
 	GoDown        Action = "go-down"       // discovery, for a while; Call is what becomes of calls
+	ResetWatches  Action = "reset-watches" // that are open; discovery goes on
 	DrainBackend  Action = "drain"         // it goes on working
 	RemoveBackend Action = "remove"        // it goes on working
 	ReturnBackend Action = "return"        // it dies and comes back cold
@@ -135,7 +136,9 @@
 	Line        standin.Line  `json:"line"`
 	Descriptors int           `json:"descriptors"` // that the platform's file tells each process
 	Faults      []Fault       `json:"faults"`
-	Events      []Event       `json:"events"`
+	// FirstLists has a process that is killed start again with the list of the run's beginning, in place of the list as it is then.
+	FirstLists bool    `json:"first_lists,omitempty"`
+	Events     []Event `json:"events"`
 }
 
 const (
--- a/internal/rig/soak/soak.go
+++ b/internal/rig/soak/soak.go
@@ -84,6 +84,7 @@
 	library *wallclock.Library
 	fleet   *standin.Fleet
 	members []*member
+	first   json.RawMessage // the list of the run's beginning
 
 	mu      sync.Mutex
 	zero    time.Time
@@ -110,6 +111,7 @@
 		return nil, err
 	}
 	defer r.fleet.Close()
+	r.first = r.fleet.Discovery.Whole()
 	r.fleet.Discovery.DrawCalls(r.drawCall)
 	defer r.end()
 	if err := r.place(); err != nil {
@@ -255,6 +257,9 @@
 // known is the list that a process which starts has, in the stead of a proxy.
 func (r *run) known(proxy string) json.RawMessage {
 	r.fleet.Books.Started(proxy)
+	if r.plan.FirstLists {
+		return r.first
+	}
 	return r.fleet.Discovery.Whole()
 }
 
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -50,7 +50,7 @@
 	line    line
 	// answered is when each client was last answered.
 	answered map[client]time.Time
-	ended    chan struct{} // closed and made anew when open watches end
+	watches  *watchEnd     // of the watches that are open; made anew when they end
 	draw     func() Call   // what becomes of a call; nil for nothing amiss
 	news     chan struct{} // closed and made anew with each change
 	server   *http.Server
@@ -62,7 +62,7 @@
 }
 
 func newDiscovery(books *Books) (*Discovery, error) {
-	d := &Discovery{books: books, hosts: map[string]Host{}, changed: map[string]int64{}, news: make(chan struct{}), ended: make(chan struct{}), answered: map[client]time.Time{}}
+	d := &Discovery{books: books, hosts: map[string]Host{}, changed: map[string]int64{}, news: make(chan struct{}), watches: newWatchEnd(), answered: map[client]time.Time{}}
 	d.alive, d.die = context.WithCancel(context.Background())
 	return d, d.open()
 }
@@ -217,8 +217,12 @@
 	if text := r.URL.Query().Get("from"); text != "" {
 		from, _ = strconv.ParseInt(text, 10, 64)
 		holdMS, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
-		if !d.await(r.Context(), from, time.Duration(holdMS)*time.Millisecond) {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		if end := d.await(r.Context(), from, time.Duration(holdMS)*time.Millisecond); end != nil {
+			if end.reset {
+				resetCall(w)
+			} else {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
 			return
 		}
 	}
@@ -274,13 +278,27 @@
 	})
 }
 
+// watchEnd is how the watches that are open at one time end, if they do before their news or the end of their hold.
+type watchEnd struct {
+	done  chan struct{} // closed when they end
+	reset bool          // their connections are reset, in place of an answer 503
+}
+
+func newWatchEnd() *watchEnd { return &watchEnd{done: make(chan struct{})} }
+
 // EndWatches ends the watches that are open, as when the service goes down.
-func (d *Discovery) EndWatches() {
+func (d *Discovery) EndWatches() { d.endWatches(false) }
+
+// ResetWatches resets the connections of the watches that are open; the service goes on.
+func (d *Discovery) ResetWatches() { d.endWatches(true) }
+
+func (d *Discovery) endWatches(reset bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clear(d.answered)
-	close(d.ended)
-	d.ended = make(chan struct{})
+	d.watches.reset = reset
+	close(d.watches.done)
+	d.watches = newWatchEnd()
 }
 
 // goesOnWithin is how soon behind an answer a call goes on with the same watch, which has its place in discovery already.
@@ -299,28 +317,28 @@
 	d.answered[who] = time.Now()
 }
 
-// await waits until there is something newer than a version, or the hold is over; false where the watch is ended before.
-func (d *Discovery) await(ctx context.Context, from int64, hold time.Duration) bool {
+// await waits until there is something newer than a version, or the hold is over; it returns how the watch is ended, if it is before that.
+func (d *Discovery) await(ctx context.Context, from int64, hold time.Duration) *watchEnd {
 	over := time.NewTimer(hold)
 	defer over.Stop()
 	d.mu.Lock()
-	ended := d.ended
+	watches := d.watches
 	d.mu.Unlock()
 	for {
 		d.mu.Lock()
 		newer, news := d.seq > from, d.news
 		d.mu.Unlock()
 		if newer {
-			return true
+			return nil
 		}
 		select {
 		case <-news:
 		case <-over.C:
-			return true
-		case <-ended:
-			return false
+			return nil
+		case <-watches.done:
+			return watches
 		case <-ctx.Done():
-			return true
+			return nil
 		}
 	}
 }
