Discovery: a line and a figure for a list that is acted on unconfirmed

Each change between confirmed, unconfirmed and stale has a line now, with the failed calls by their ends, and the figure list_unconfirmed tells the middle one.

The stand-in's dials fail as package net's do (net.OpError), since what a call met is told by that.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -139,7 +139,7 @@
 	confirmed time.Time
 	calls     map[CallEnd]int64 // that have ended so
 	freshness freshness
-	stale     bool                    // what Fresh has said last
+	stood     Standing                // what Fresh has found last
 	hangUp    context.CancelCauseFunc // of the calls that are out
 }
 
@@ -155,7 +155,7 @@
 // New returns a client that makes no call yet. update is called with each list, from one goroutine at a time; it
 // takes the addresses to dial beside the entries.
 func New(address string, zones []string, o Options, log *slog.Logger, update func(balance.ListKind, []balance.Entry, map[string]string)) *Client {
-	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}, started: time.Now(), confirmed: time.Now(), calls: map[CallEnd]int64{}}
+	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}, started: time.Now(), confirmed: time.Now(), calls: map[CallEnd]int64{}, stood: Confirmed}
 	d.freshness = freshness{current: d.started} // the list that a process starts with is of its start
 	d.seq.Store(-1)
 	for n, zone := range zones {
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -69,22 +69,50 @@
 	return !f.down && f.alive && age >= staleAfter && age < staleAfter+staleMost
 }
 
+// Standing is how far the list that is held can be relied on.
+type Standing string
+
+// The standings.
+const (
+	Confirmed   Standing = "confirmed"   // discovery gave a whole answer recently enough
+	Unconfirmed Standing = "unconfirmed" // it did not, and the list is acted on since discovery looks down
+	Stale       Standing = "stale"       // it did not although it was there: the list is not acted on
+)
+
+// standing is that of the list; mu is held.
+func (d *Client) standing(now time.Time) Standing {
+	switch {
+	case d.freshness.stale(now):
+		return Stale
+	case now.Sub(d.confirmed) >= staleAfter:
+		return Unconfirmed
+	}
+	return Confirmed
+}
+
 // Fresh says whether requests may be sent by the list that is held.
 func (d *Client) Fresh() bool {
 	d.mu.Lock()
-	stale := d.freshness.stale(time.Now())
-	changed := stale != d.stale
-	d.stale = stale
-	age := time.Since(d.confirmed)
+	now := time.Now()
+	standing, before := d.standing(now), d.stood
+	d.stood = standing
+	age, calls := now.Sub(d.confirmed), d.failedCalls()
 	d.mu.Unlock()
-	switch {
-	case changed && stale:
-		d.log.Warn("the server list may be out of date: discovery is there, and gives no whole answer; nothing is sent until it does",
-			"age_ms", age.Milliseconds(), "at_most", staleMost)
-	case changed:
-		d.log.Info("the server list is acted on again", "age_ms", age.Milliseconds())
+	if standing != before {
+		d.logStanding(before, standing, age, calls)
+	}
+	return standing != Stale
+}
+
+// failedCalls counts the calls without a whole answer, by their ends; mu is held.
+func (d *Client) failedCalls() map[CallEnd]int64 {
+	failed := map[CallEnd]int64{}
+	for end, n := range d.calls {
+		if end != Answered && end != Superseded && end != Moved {
+			failed[end] = n
+		}
 	}
-	return !stale
+	return failed
 }
 
 // AppendFigures writes the age of the list, whether it may be acted on, and the calls that have ended by how they did.
@@ -93,11 +121,16 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	stale := int64(0)
-	if d.freshness.stale(now) {
+	unconfirmed := int64(0)
+	switch d.standing(now) {
+	case Stale:
 		stale = 1
+	case Unconfirmed:
+		unconfirmed = 1
 	}
 	text = figures.AppendLine(text, "list_age_ms", now.Sub(d.confirmed).Milliseconds(), 'g')
 	text = figures.AppendLine(text, "list_stale", stale, 'g')
+	text = figures.AppendLine(text, "list_unconfirmed", unconfirmed, 'g')
 	for _, end := range callEnds {
 		text = figures.AppendLine(text, "list_calls."+string(end), d.calls[end], 'c')
 	}
--- a/internal/discovery/freshness_test.go
+++ b/internal/discovery/freshness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -64,10 +65,15 @@
 
 // watched is a client that watches a service; told is called with each list and each failure.
 func watched(t *testing.T, s *service, told func(balance.ListKind)) (d *Client, end func()) {
+	t.Helper()
+	return watchedLogging(t, s, slog.DiscardHandler, told)
+}
+
+func watchedLogging(t *testing.T, s *service, log slog.Handler, told func(balance.ListKind)) (d *Client, end func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var watch sync.WaitGroup
-	d = New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(slog.DiscardHandler),
+	d = New("discovery:1", []string{"kita"}, DefaultOptions(), slog.New(log),
 		func(kind balance.ListKind, _ []balance.Entry, _ map[string]string) { told(kind) })
 	d.client.Transport.(*http.Transport).DialContext = s.dial
 	d.Resume(1)
@@ -127,3 +133,32 @@
 		})
 	}
 }
+
+// TestChangesOfStandingAreLogged: each change in how far the list can be relied on has one line, with the calls that failed.
+func TestChangesOfStandingAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		defer s.close()
+		const back = 10 * time.Second
+		s.fate = func(int) fault {
+			if time.Since(s.start) < back {
+				return rejected
+			}
+			return well
+		}
+		var text strings.Builder
+		d, end := watchedLogging(t, s, slog.NewTextHandler(&text, nil), func(balance.ListKind) {})
+		for range 30 {
+			time.Sleep(500 * time.Millisecond)
+			d.Fresh()
+		}
+		end()
+		for line, want := range map[string]int{
+			"before=confirmed now=unconfirmed": 1, "before=unconfirmed now=confirmed": 1, "map[unreachable:": 2,
+		} {
+			if n := strings.Count(text.String(), line); n != want {
+				t.Errorf("%q is logged %d times, want %d:\n%s", line, n, want, text.String())
+			}
+		}
+	})
+}
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -3,16 +3,17 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,7 +86,11 @@
 	s.pipes.serves.Wait()
 }
 
-var errRefusedDial = errors.New("connection refused")
+// A dial fails as one of package net's does.
+var (
+	errRefusedDial = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	errSilentDial  = &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+)
 
 func (s *service) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	s.mu.Lock()
@@ -101,7 +106,7 @@
 		ctx, cancel := context.WithTimeout(ctx, time.Second) // the dialer's own
 		defer cancel()
 		<-ctx.Done()
-		return nil, ctx.Err()
+		return nil, errSilentDial
 	}
 	return s.pipes.connect(s.serve), nil
 }
--- a/internal/discovery/trace.go
+++ b/internal/discovery/trace.go
@@ -73,6 +73,19 @@
 		"end", string(end), "age_ms", d.Age().Milliseconds(), "url", url)
 }
 
+// logStanding writes the line of a change in how far the list can be relied on, with the calls that have failed since the start.
+func (d *Client) logStanding(before, now Standing, age time.Duration, failed map[CallEnd]int64) {
+	fields := []any{"before", before, "now", now, "age_ms", age.Milliseconds(), "seq", d.seq.Load(), "failed_calls", failed}
+	switch now {
+	case Stale:
+		d.log.Warn("the server list may be out of date: discovery is there, and gives no whole answer; nothing is sent until it does", fields...)
+	case Unconfirmed:
+		d.log.Warn("the server list is not confirmed and is acted on: discovery looks down", fields...)
+	case Confirmed:
+		d.log.Info("the server list is confirmed again", fields...)
+	}
+}
+
 // mostNamed bounds the ids in one line on news of the list.
 const mostNamed = 8
 
