Discovery: one lease in place of signs of an outage bounds how long the list is acted on

Callers' requests went to servers that drain or are gone for as long as discovery gave a proxy no answer: up to 13.5 s as long as was looked.

Cause: freshness.go took silence, resets, watches that end and refusals after a wait for signs of an outage, in which the list was acted on without a bound. Class: a failure detector that takes 'no answer' for 'down'.

Change: package internal/discovery/plan, pure: a whole answer is a lease of 6.3 s. A dial that fails renews it, unless a call was taken since the answer. Behind it nothing is sent until the next whole answer, or nothing has listened for 20 s, or no call was answered for 5 minutes. An answer that is thrown away (versions that go back) is no confirmation, and one is only given behind the list's update. Where lists are pushed, silence is an outage, as the protocol says, and any other failure ends the lease 0.3 s later.

Replaced checks: that silence and resets in an asked discovery never hold the list back is no longer asserted, since it is the fault; the same courses are now asserted to hold it back. Refused and silent dials are asserted as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"brasswell/balance"
+	"brasswell/internal/discovery/plan"
 	"brasswell/internal/settings"
 )
 
@@ -136,10 +137,10 @@
 	going    bool      // the last call was answered: the next one goes on with a watch
 	started  time.Time
 	// confirmed is when discovery last gave a whole answer; the start of the process until then.
-	confirmed time.Time
-	calls     map[CallEnd]int64 // that have ended so
-	freshness freshness
-	stood     Standing                // what Fresh has found last
+	confirmed time.Duration
+	calls     map[plan.CallEnd]int64 // that have ended so
+	lease     *plan.Lease
+	stood     plan.Standing           // what Fresh has found last
 	hangUp    context.CancelCauseFunc // of the calls that are out
 }
 
@@ -155,8 +156,8 @@
 // New returns a client that makes no call yet. update is called with each list, from one goroutine at a time; it
 // takes the addresses to dial beside the entries.
 func New(address string, zones []string, o Options, log *slog.Logger, update func(balance.ListKind, []balance.Entry, map[string]string)) *Client {
-	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}, started: time.Now(), confirmed: time.Now(), calls: map[CallEnd]int64{}, stood: Confirmed}
-	d.freshness = freshness{current: d.started} // the list that a process starts with is of its start
+	d := &Client{address: address, options: o, zones: map[string]int{}, log: log, update: update, hangUp: func(error) {}, started: time.Now(), calls: map[plan.CallEnd]int64{}, stood: plan.Confirmed}
+	d.lease = plan.NewLease(0, false) // the list that a process starts with is of its start
 	d.seq.Store(-1)
 	for n, zone := range zones {
 		d.zones[zone] = n
@@ -178,19 +179,31 @@
 	d.unheard, d.going = false, true
 }
 
-// confirm notes that discovery has told all that there was at some time.
-func (d *Client) confirm(at time.Time) {
+// SetPushed says that the address is an agent on this machine that lists are pushed to. It is for a client that has made no call yet.
+func (d *Client) SetPushed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.lease = plan.NewLease(d.now(), true)
+}
+
+// confirm notes that an answer has told all that there was when it began, or that it was thrown away.
+func (d *Client) confirm(begun time.Time, taken bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := begun.Sub(d.started)
+	if !taken {
+		d.lease.Dropped(at)
+		return
+	}
 	d.confirmed = at
-	d.freshness.confirmed(at)
+	d.lease.Answered(at)
 }
 
 // Age is for how long discovery has given no whole answer.
 func (d *Client) Age() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return time.Since(d.confirmed)
+	return d.now() - d.confirmed
 }
 
 // Watch follows the changes until asking for them fails. The next call goes out as soon as the last is answered, so
@@ -379,7 +392,7 @@
 		pending++
 		calls.Go(func() {
 			defer give()
-			list, err := d.call(timed, r, url, func() {
+			list, err := d.call(timed, url, r.watching && number == 1, func() {
 				select {
 				case coming <- number:
 				default: // another one was just told
@@ -397,9 +410,6 @@
 		case <-ctx.Done():
 			return r.moves, context.Cause(ctx)
 		case <-late.C:
-			if begun == made {
-				d.noteStall()
-			}
 			call()
 		case begun = <-coming:
 			// Discovery has come to this call, which has no place in line to lose: the rest comes soon, or never.
@@ -412,8 +422,7 @@
 			case a.err == nil:
 				cancel()
 				calls.Wait()
-				d.confirm(a.list.begun)
-				d.Take(a.list, a.list.kind())
+				d.confirm(a.list.begun, d.Take(a.list, a.list.kind()))
 				return r.moves, nil
 			case context.Cause(ctx) == errMoved:
 				return r.moves, errMoved
@@ -424,43 +433,47 @@
 	}
 }
 
-// call makes one call.
-func (d *Client) call(ctx context.Context, r round, url string, coming func()) (*Catalog, error) {
+// call makes one call. goesOn says that it goes on with a watch.
+func (d *Client) call(ctx context.Context, url string, goesOn bool, coming func()) (*Catalog, error) {
 	begun := time.Now()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) {
+			if !c.Reused {
+				d.noteConnected(goesOn)
+			}
+		},
+		GotFirstResponseByte: d.noteAnswerBegun,
+	})
 	list, err := d.fetch(ctx, url, coming)
 	end := endOf(err, context.Cause(ctx))
-	d.noteEnd(end, begun, r.watching)
+	d.noteEnd(end, begun)
 	d.logCall(ctx, end, url, begun, err)
 	return list, err
 }
 
-// noteStall takes in that an answer has begun and does not go on.
-func (d *Client) noteStall() {
+// noteEnd takes in the end of a call.
+func (d *Client) noteEnd(end plan.CallEnd, begun time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.freshness.signOfLife(time.Now())
+	d.calls[end]++
+	if d.move.pending() && end == plan.Unreachable {
+		return // it may well be that nobody listens at the old address any more
+	}
+	d.lease.Ended(end, begun.Sub(d.started), d.now())
 }
 
-// noteEnd takes in what the end of a call says of whether discovery is there.
-func (d *Client) noteEnd(end CallEnd, begun time.Time, watching bool) {
+// noteAnswerBegun takes in that discovery has begun to answer a call.
+func (d *Client) noteAnswerBegun() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.calls[end]++
-	if d.move.pending() {
-		return // it may well be that nobody listens at the old address any more
-	}
-	switch end {
-	case CutOff:
-		d.freshness.signOfLife(time.Now())
-	case TurnedAway:
-		d.freshness.turnedAway(begun, time.Now(), watching)
-	case Unreachable:
-		d.freshness.unreachable()
-	case NoAnswer:
-		if watching {
-			d.freshness.unreachable()
-		}
-	}
+	d.lease.AnswerBegun()
+}
+
+// noteConnected takes in that a connection for a call came up.
+func (d *Client) noteConnected(goesOn bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lease.Connected(goesOn)
 }
 
 // hangUpNow frees what the round that has ended holds.
@@ -540,13 +553,13 @@
 	return c, nil
 }
 
-// Take passes a list on.
-func (d *Client) Take(c *Catalog, kind balance.ListKind) error {
+// Take passes a list on, and says whether it could be used.
+func (d *Client) Take(c *Catalog, kind balance.ListKind) (taken bool) {
 	if kind == balance.Delta && c.Seq < d.seq.Load() {
 		// Another service, or the same one started anew: it counts its versions from elsewhere, and what
 		// it calls changes may not be all that has changed for us.
 		d.seq.Store(-1)
-		return nil
+		return false
 	}
 	list, addresses, odd := c.entries(d.zones)
 	if odd != nil {
@@ -555,7 +568,7 @@
 	d.logNews(kind, c.Seq, list)
 	d.seq.Store(c.Seq)
 	d.update(kind, list, addresses)
-	return nil
+	return true
 }
 
 // Seq is the version of the list that is held; -1 for none.
--- a/internal/discovery/move.go
+++ b/internal/discovery/move.go
@@ -93,6 +93,7 @@
 	now := time.Now()
 	d.address, d.move.from = d.move.address, now
 	d.unheard, d.going = true, false
+	d.lease.Moved(d.now())
 	if d.move.pending() {
 		d.move.timer.Stop()
 		d.move.timer = nil
--- a/internal/discovery/options.go
+++ b/internal/discovery/options.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"brasswell/internal/discovery/plan"
 	"brasswell/internal/operator"
 )
 
@@ -19,8 +20,7 @@
 }
 
 const (
-	// toldWithin is when what discovery had while it could be reached counts as told, whatever became of the calls.
-	toldWithin = 6 * time.Second
+	toldWithin = plan.ToldWithin
 	// answerRoom of that is left for the answer of the call that gets one.
 	answerRoom = 900 * time.Millisecond
 )
--- a/internal/discovery/trace.go
+++ b/internal/discovery/trace.go
@@ -9,61 +9,43 @@
 	"time"
 
 	"brasswell/balance"
+	"brasswell/internal/discovery/plan"
 )
 
 // TraceCall is the line that tells of each call that has ended: at level debug if it was answered, and at level info if not. `brasswell
 // count` reads it.
 const TraceCall = "call"
 
-// CallEnd is how a call for the server list ended.
-type CallEnd string
-
-// The ends of calls.
-const (
-	Answered    CallEnd = "answered"
-	TurnedAway  CallEnd = "turned_away" // discovery had no room for it, or is down
-	CutOff      CallEnd = "cut_off"     // its answer broke off, or cannot be read
-	NoAnswer    CallEnd = "no_answer"   // its connection ended with no answer begun
-	Unreachable CallEnd = "unreachable" // no connection came up
-	TimedOut    CallEnd = "timed_out"   // it was given up for staying silent
-	Superseded  CallEnd = "superseded"  // another call of the same question was answered or is made in its place
-	Moved       CallEnd = "moved"       // discovery has another address now
-	NoMeans     CallEnd = "no_means"    // this process has no descriptor, port or memory for it now
-)
-
-// callEnds are all of them.
-var callEnds = []CallEnd{Answered, TurnedAway, CutOff, NoAnswer, Unreachable, TimedOut, Superseded, Moved, NoMeans}
-
 // endOf says how a call ended. cause is why its context was cancelled, if it was.
-func endOf(err, cause error) CallEnd {
+func endOf(err, cause error) plan.CallEnd {
 	var dial *net.OpError
 	var timeout net.Error
 	switch {
 	case err == nil:
-		return Answered
+		return plan.Answered
 	case errors.Is(cause, errMoved):
-		return Moved
+		return plan.Moved
 	case errors.Is(cause, context.Canceled):
-		return Superseded
+		return plan.Superseded
 	case errors.Is(err, errTurnedAway):
-		return TurnedAway
+		return plan.TurnedAway
 	case errors.Is(err, errCutOff):
-		return CutOff
+		return plan.CutOff
 	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM),
 		errors.Is(err, syscall.EADDRNOTAVAIL):
-		return NoMeans
+		return plan.NoMeans
 	case errors.As(err, &dial) && dial.Op == "dial", errors.Is(err, syscall.ECONNREFUSED):
-		return Unreachable
+		return plan.Unreachable
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return TimedOut
+		return plan.TimedOut
 	}
-	return NoAnswer
+	return plan.NoAnswer
 }
 
 // logCall writes the line of a call that has ended.
-func (d *Client) logCall(ctx context.Context, end CallEnd, url string, begun time.Time, err error) {
+func (d *Client) logCall(ctx context.Context, end plan.CallEnd, url string, begun time.Time, err error) {
 	level := slog.LevelInfo
-	if end == Answered || end == Superseded || end == Moved {
+	if end == plan.Answered || end == plan.Superseded || end == plan.Moved {
 		level = slog.LevelDebug
 	}
 	if !d.log.Enabled(ctx, level) {
@@ -74,14 +56,14 @@
 }
 
 // logStanding writes the line of a change in how far the list can be relied on, with the calls that have failed since the start.
-func (d *Client) logStanding(before, now Standing, age time.Duration, failed map[CallEnd]int64) {
+func (d *Client) logStanding(before, now plan.Standing, age time.Duration, failed map[plan.CallEnd]int64) {
 	fields := []any{"before", before, "now", now, "age_ms", age.Milliseconds(), "seq", d.seq.Load(), "failed_calls", failed}
 	switch now {
-	case Stale:
-		d.log.Warn("the server list may be out of date: discovery is there, and gives no whole answer; nothing is sent until it does", fields...)
-	case Unconfirmed:
-		d.log.Warn("the server list is not confirmed and is acted on: discovery looks down", fields...)
-	case Confirmed:
+	case plan.Stale:
+		d.log.Warn("the server list may be out of date: discovery may be there, and gives no whole answer; nothing is sent until it does", fields...)
+	case plan.Unconfirmed:
+		d.log.Warn("the server list is not confirmed and is acted on: discovery is out of reach", fields...)
+	case plan.Confirmed:
 		d.log.Info("the server list is confirmed again", fields...)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -223,6 +223,9 @@
 		update = p.listed(update)
 	}
 	p.discovery = discovery.New(c.Discovery, s.Zones, c.Options.Discovery, c.Log, update)
+	if !s.Balancer.AskForList {
+		p.discovery.SetPushed()
+	}
 	p.host.SetServerList(p.discovery, wait)
 	l, err := listen(c, buffers)
 	if err != nil {
@@ -310,9 +313,7 @@
 			return fmt.Errorf("known: %w", err)
 		}
 	}
-	if err := p.discovery.Take(c, balance.Cached); err != nil {
-		return fmt.Errorf("known: %w", err)
-	}
+	p.discovery.Take(c, balance.Cached)
 	return nil
 }
 
--- a/internal/rig/soak/unconfirmed_test.go
+++ b/internal/rig/soak/unconfirmed_test.go
@@ -48,14 +48,16 @@
 }
 
 // TestDrainBehindAnOutageIntoACrowd: discovery is down for 8 s, in which calls wait 2 s for a refusal, and back with so many callers that
-// most go on to be refused so. The list is acted on no longer than if discovery had been there all the time.
+// most go on to be refused so for a while. The list is acted on no longer than if discovery had been there all the time, and again behind
+// an answer.
 func TestDrainBehindAnOutageIntoACrowd(t *testing.T) {
 	t.Parallel()
-	const down, back = 3 * time.Second, 11 * time.Second
+	const down, back, calm = 3 * time.Second, 11 * time.Second, 21 * time.Second
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			p := drainsAt(seed, 30*time.Second, soak.Mix{TurnedAway: 0.8, Line: linePatience}, back, back+time.Second, back+3*time.Second)
+			p := drainsAt(seed, 32*time.Second, soak.Mix{TurnedAway: 0.8, Line: linePatience}, back, back+time.Second, back+3*time.Second)
+			p.Events[0].For = calm - answered
 			p.Events = append(p.Events, soak.Event{
 				At: down, Do: soak.GoDown, For: back - down, Call: standin.Call{Fault: standin.CallTurnedAway, For: linePatience},
 			})
