Discovery: calls, moves, pauses and the lease are decided by a pure core; the client is a shell

Package internal/discovery/plan decides now, events in and actions out, with no I/O, lock or clock: lease.go (may the list be acted on), follower.go (events), question.go (calls of one question), backoff.go (pauses), series.go (moves). The client carries its actions out: discovery.go, watch.go, call.go, catalog.go, standing.go. What is called when is as before, but for two crossings: an answer of the old address that is being taken in as discovery moves is no longer one of the new address, and a failed call ends its watch's right to be the one that goes on.

The lease: three dials in a row that fail are an outage also behind a call that was taken (a discovery that hangs and then dies), in place of 20 s without a listener, which would have let a change that counted as told be ignored.

Tests of d.round, d.turnedAway and d.moves are played on the follower: TestAnAnswerEndsShortWatches, TestTurnedAwayWaits (draws given, so each bound is exact), TestAMoveBehindAFailureKeepsTheWatch, TestAPendingMoveIsGoneOverToByTheNextWatch. New: versions that go back, a move while news is taken in, calls that were given up.

--- /dev/null
+++ b/internal/discovery/call.go
@@ -0,0 +1,126 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"brasswell/internal/discovery/plan"
+)
+
+const (
+	// connectTime is how long a connection may take to come up.
+	connectTime = time.Second
+	// mostConns are those of the calls that are out, and some that are just being closed.
+	mostConns = 4
+	// maxList bounds an answer; a fleet of thousands stays below.
+	maxList = 8 << 20
+	// maxHead bounds the head of an answer.
+	maxHead = 16 << 10
+)
+
+// errCutOff is what a call ends with whose answer had begun.
+var errCutOff = errors.New("discovery's answer cannot be read to its end")
+
+// errTurnedAway is what a call ends with that discovery has no answer for now.
+var errTurnedAway = errors.New("discovery turned the call away")
+
+// errMoved ends the call to an address that is no longer discovery's.
+var errMoved = errors.New("discovery has moved")
+
+// newHTTPClient returns the client that calls discovery.
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: connectTime}).DialContext,
+		DisableCompression:     true,
+		MaxConnsPerHost:        mostConns,
+		MaxIdleConns:           1,
+		MaxResponseHeaderBytes: maxHead,
+	}}
+}
+
+// urlOf is where a call goes.
+func urlOf(c plan.Call) string {
+	url := "http://" + c.Address + "/catalog/members"
+	if c.From < 0 {
+		return url
+	}
+	return fmt.Sprintf("%s?from=%d&hold_ms=%d", url, c.From, c.Hold.Milliseconds())
+}
+
+// call makes one call, and tells of what it meets on the way.
+func (d *Client) call(ctx context.Context, c plan.Call) (*Catalog, error) {
+	begun, url := time.Now(), urlOf(c)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if !info.Reused {
+				d.noteConnected(c.GoesOn)
+			}
+		},
+		GotFirstResponseByte: d.noteAnswerBegun,
+	})
+	list, err := d.fetch(ctx, url, func() { d.noteProgress(c.ID) })
+	end := endOf(err, context.Cause(ctx))
+	d.noteEnd(end)
+	d.logCall(ctx, end, url, begun, err)
+	return list, err
+}
+
+// fetch fetches a list. coming is called as the answer begins and goes on, but for a refusal.
+func (d *Client) fetch(ctx context.Context, url string, coming func()) (*Catalog, error) {
+	var begun atomic.Pointer[time.Time] // the answer; Do may return before the trace's call does
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		now := time.Now()
+		begun.Store(&now)
+	}})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		if begun.Load() != nil {
+			coming()
+			return nil, fmt.Errorf("%w: %w", errCutOff, err)
+		}
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: %s", errTurnedAway, resp.Status)
+	}
+	coming()
+	text, err := io.ReadAll(io.LimitReader(&progressReader{resp.Body, coming}, maxList+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", errCutOff, err)
+	case len(text) > maxList:
+		return nil, fmt.Errorf("discovery's answer is over %d bytes", maxList)
+	}
+	c, err := ReadCatalog(text)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errCutOff, err)
+	}
+	c.begun = *begun.Load()
+	return c, nil
+}
+
+// progressReader tells of each part that has come.
+type progressReader struct {
+	io.Reader
+	came func()
+}
+
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.came()
+	}
+	return n, err
+}
--- a/internal/discovery/options.go
+++ b/internal/discovery/options.go
@@ -27,7 +27,9 @@
 
 // lastCall is how long after a watch was opened the third call of its round begins at the latest: the first two may stay
 // silent, and what has changed meanwhile is still told in time.
-func (o *Options) lastCall() time.Duration { return o.Hold + o.Slack + overlap }
+func (o *Options) lastCall() time.Duration { return o.Hold + o.Slack + plan.Overlap }
+
+func (o *Options) settings() plan.Settings { return plan.Settings{Hold: o.Hold, Slack: o.Slack} }
 
 // DefaultOptions find a silent discovery within the time after which its news counts as told.
 func DefaultOptions() Options {
@@ -47,7 +49,7 @@
 				"How long after that a call counts as silent and is made again.").OnReload(),
 		},
 		Check: func() []operator.Problem {
-			if most := toldWithin - answerRoom - overlap; o.Hold+o.Slack > most {
+			if most := toldWithin - answerRoom - plan.Overlap; o.Hold+o.Slack > most {
 				return []operator.Problem{{Key: "slack", Text: fmt.Sprintf("hold and slack must stay within %v together: what changed counts as told %v after it did, and by then "+
 					"two more calls must have asked; lower either", most, toldWithin)}}
 			}
--- /dev/null
+++ b/internal/discovery/plan/follower.go
@@ -0,0 +1,239 @@
+package plan
+
+import "time"
+
+// Settings are how discovery is asked.
+type Settings struct {
+	// Hold is how long a watch asks discovery to wait for news.
+	Hold time.Duration
+	// Slack on top of Hold is when a watch counts as overdue.
+	Slack time.Duration
+}
+
+// CallID names a call. IDs are never used again.
+type CallID uint64
+
+// Call is one call for the server list.
+type Call struct {
+	ID      CallID
+	Address string
+	From    int64         // the version held; below 0 for the whole list
+	Hold    time.Duration // for how long discovery may wait for news
+	Wait    time.Duration // when the call is given up as timed out
+	GoesOn  bool          // it goes on with a watch that was answered right before
+	Beside  bool          // it is made beside one that is overdue, and needs a connection of its own
+}
+
+// Action is what a client has to do.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// MakeCall makes a call; its events come back under its ID.
+	MakeCall struct{ Call Call }
+	// GiveUp ends a call. It needs no event any more.
+	GiveUp struct {
+		ID  CallID
+		End CallEnd // Superseded or Moved
+	}
+	// CloseIdle closes the connections that no call uses: they may lead to a machine that is gone.
+	CloseIdle struct{}
+	// ReportFailure tells the balancer that a call has failed.
+	ReportFailure struct{}
+	// EndWatch ends the watch: the balancer says when the next one begins.
+	EndWatch struct{}
+)
+
+func (MakeCall) action()      {}
+func (GiveUp) action()        {}
+func (CloseIdle) action()     {}
+func (ReportFailure) action() {}
+func (EndWatch) action()      {}
+
+// Follower decides which calls are made for the server list, and whether the list may be acted on. Its events are methods; what is to be
+// done for them is in Actions afterwards, and Next says when Time is due.
+type Follower struct {
+	Lease
+	settings Settings
+	random   func() float64 // from 0 to below 1
+	started  time.Duration
+	address  string
+	version  int64 // of the list that is held; below 0 for none
+
+	watching bool
+	question *question // nil while none is out
+	pause    pause
+	again    bool // the question is asked again for an answer that was cut off
+	goesOn   bool // the last question was answered just now
+	refused  moment
+	series   series
+	answerOf int // how many moves there were when the answer came that is being taken in
+	lastCall CallID
+	actions  []Action
+}
+
+// moment is a time that may not have come yet.
+type moment struct {
+	at   time.Duration
+	come bool
+}
+
+// within says whether it came less than so long ago.
+func (m moment) within(d, now time.Duration) bool { return m.come && now-m.at < d }
+
+// NewFollower returns one that makes no call yet, and holds no list. random returns numbers from 0 to below 1.
+func NewFollower(now time.Duration, address string, s Settings, random func() float64) *Follower {
+	return &Follower{Lease: *NewLease(now, false), settings: s, random: random, started: now, address: address, version: -1}
+}
+
+// SetPushed says that the address is an agent on this machine; it is for a follower that makes no call yet.
+func (f *Follower) SetPushed(now time.Duration) { f.Lease = *NewLease(now, true) }
+
+// SetSettings changes how discovery is asked, from the next question on.
+func (f *Follower) SetSettings(s Settings) { f.settings = s }
+
+// Version is that of the list that is held; below 0 for none.
+func (f *Follower) Version() int64 { return f.version }
+
+// SetVersion takes in a version that was not told by a call of this follower.
+func (f *Follower) SetVersion(version int64) { f.version = version }
+
+// Actions are those that the events since the last call of Actions have led to, in order.
+func (f *Follower) Actions() []Action {
+	actions := f.actions
+	f.actions = nil
+	return actions
+}
+
+func (f *Follower) act(a Action) { f.actions = append(f.actions, a) }
+
+// Watch begins to ask, unless the follower does already, and says whether it did not.
+func (f *Follower) Watch(now time.Duration) (begun bool) {
+	f.Time(now)
+	if f.watching {
+		return false
+	}
+	f.watching = true
+	f.ask(now)
+	return true
+}
+
+// Stop ends the watch without a word.
+func (f *Follower) Stop() {
+	f.watching, f.question, f.pause, f.goesOn, f.actions = false, nil, pause{}, false, nil
+}
+
+// Progress takes in a part of an answer to a call.
+func (f *Follower) Progress(id CallID, now time.Duration) {
+	f.AnswerBegun()
+	if q := f.question; q != nil && id == q.newest {
+		// Discovery has come to this call, which has no place in line to lose: the rest comes soon, or never.
+		q.late = now + stallTime
+	}
+}
+
+// Received takes in a whole answer to a call, and says whether the list in it is to be taken in; Taken has to follow in either case. ok is
+// false where the answer comes too late to count.
+func (f *Follower) Received(id CallID, version int64, whole bool) (use, ok bool) {
+	q := f.question
+	if q == nil || !q.out[id] {
+		return false, false
+	}
+	delete(q.out, id)
+	f.giveUp(Superseded)
+	f.answerOf = f.series.moves
+	if !whole && version < f.version {
+		// Another service, or the same one started anew: it counts its versions from elsewhere, and what it calls changes may not be all
+		// that has changed for us.
+		f.version = -1
+		return false, true
+	}
+	f.version = version
+	return true, true
+}
+
+// Taken takes in that the list of an answer that began at a time is in use, or was thrown away, and goes on with the watch.
+func (f *Follower) Taken(used bool, begun, now time.Duration) {
+	if used {
+		f.Answered(begun)
+	} else {
+		f.Dropped(begun)
+	}
+	f.again = false
+	if f.series.moves == f.answerOf {
+		f.goesOn, f.series.unheard = true, false
+	}
+	if f.watching && f.question == nil {
+		f.ask(now)
+	}
+}
+
+// Ended takes in the end of a call that began at a time, without a whole answer.
+func (f *Follower) Ended(id CallID, end CallEnd, begun, now time.Duration) {
+	if !f.series.pending || end != Unreachable { // it may well be that nobody listens at the old address any more
+		f.Lease.Ended(end, begun, now)
+	}
+	q := f.question
+	if q == nil || !q.out[id] {
+		return
+	}
+	delete(q.out, id)
+	if len(q.out) == 0 {
+		f.failed(end, now)
+	}
+}
+
+// Move takes in another address of discovery, which is gone over to at once or behind others that follow soon. The list that is held stays,
+// and so does its version: what has changed since is asked for at the new address. The caller sees to it that a watch begins.
+func (f *Follower) Move(address string, now time.Duration) {
+	if f.series.add(address, now) {
+		f.goOver(now)
+	}
+}
+
+// goOver ends the calls to the old address, and makes the next one to the new one.
+func (f *Follower) goOver(now time.Duration) {
+	f.address = f.series.goOver(now)
+	f.goesOn = false
+	f.Moved(now)
+	waiting := f.question != nil || f.pause.untilMove
+	f.giveUp(Moved)
+	f.act(CloseIdle{})
+	if f.watching && waiting {
+		f.pause = pause{}
+		f.ask(now)
+	}
+}
+
+// Next is when Time is due; ok is false where there is nothing to wait for.
+func (f *Follower) Next() (at time.Duration, ok bool) {
+	at = never
+	if f.series.pending {
+		at = f.series.due
+	}
+	if f.question != nil {
+		at = min(at, f.question.late)
+	}
+	if f.pause.on && !f.pause.untilMove {
+		at = min(at, f.pause.until)
+	}
+	return at, at != never
+}
+
+// Time does what is due.
+func (f *Follower) Time(now time.Duration) {
+	if f.series.pending && now >= f.series.due {
+		f.goOver(now)
+	}
+	if f.question != nil && now >= f.question.late {
+		f.call(now)
+	}
+	if p := f.pause; p.on && !p.untilMove && now >= p.until {
+		f.pause = pause{}
+		if p.ends {
+			f.end(p.moves, now)
+		} else {
+			f.ask(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/plan/follower_test.go
@@ -0,0 +1,249 @@
+package plan
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// half is a draw in the middle.
+func half() float64 { return 0.5 }
+
+// defaults are the settings of a client.
+func defaults() Settings {
+	return Settings{Hold: 2500 * time.Millisecond, Slack: 800 * time.Millisecond}
+}
+
+// holding returns a follower that holds a list and begins its first watch at 0.
+func holding(t *testing.T) *Follower {
+	t.Helper()
+	f := NewFollower(0, "a", defaults(), half)
+	f.SetVersion(1)
+	if !f.Watch(0) {
+		t.Fatal("the watch does not begin")
+	}
+	return f
+}
+
+// calls are those that a follower has made since the last look.
+func calls(f *Follower) (made []Call) {
+	for _, a := range f.Actions() {
+		if c, ok := a.(MakeCall); ok {
+			made = append(made, c.Call)
+		}
+	}
+	return made
+}
+
+// one is the only call that a follower has made since the last look.
+func one(t *testing.T, f *Follower) Call {
+	t.Helper()
+	made := calls(f)
+	if len(made) != 1 {
+		t.Fatalf("%d calls, want one: %+v", len(made), made)
+	}
+	return made[0]
+}
+
+// answer answers a call at once with nothing new, and returns the next one.
+func answer(t *testing.T, f *Follower, id CallID, at time.Duration) Call {
+	t.Helper()
+	if use, ok := f.Received(id, f.Version(), false); !use || !ok {
+		t.Fatalf("an answer is not taken: %t, %t", use, ok)
+	}
+	f.Taken(true, at, at)
+	return one(t, f)
+}
+
+// TestAnAnswerEndsShortWatches: after a move watches are short until the first answer at the new address, which tells all that there was.
+// Short watches of all who have had theirs would take the places of those who wait for their first.
+func TestAnAnswerEndsShortWatches(t *testing.T) {
+	f := holding(t)
+	c := one(t, f)
+	expect := func(when string, hold time.Duration) {
+		t.Helper()
+		if c.Hold != hold {
+			t.Errorf("%s a watch holds for %v, want %v", when, c.Hold, hold)
+		}
+	}
+	expect("before a move", f.settings.Hold)
+	f.Move("b", seconds(1))
+	c = one(t, f)
+	expect("after a move", moveHold)
+	c = answer(t, f, c.ID, seconds(1.1))
+	expect("behind the first answer after a move", f.settings.Hold)
+	f.Move("c", seconds(10))
+	c = one(t, f)
+	expect("after the next move", moveHold)
+	f.Ended(c.ID, TurnedAway, seconds(10), seconds(10.1))
+	at, _ := f.Next()
+	f.Time(at)
+	c = one(t, f)
+	expect("after a refusal since the move", moveHold)
+	c = answer(t, f, c.ID, seconds(12))
+	expect("behind the first answer of a crowded discovery", crowdedHold)
+	f.Move("d", seconds(20))
+	c = one(t, f)
+	f.Ended(c.ID, TurnedAway, seconds(20), seconds(20)+moveStarved)
+	if f.Time(seconds(40)); !f.watching {
+		f.Actions()
+		f.Watch(seconds(40))
+	}
+	c = one(t, f)
+	expect("without an answer for long", f.settings.Hold)
+}
+
+// TestNewsBehindAMoveIsToldInTime: the third call behind a move, of which the first two stay silent, begins within 4 s; and behind a refusal
+// two calls fit into the time in which news counts as told.
+func TestNewsBehindAMoveIsToldInTime(t *testing.T) {
+	f := holding(t)
+	f.Move("b", seconds(1))
+	calls(f)
+	for range 2 {
+		at, _ := f.Next()
+		f.Time(at)
+	}
+	if c := calls(f); len(c) != 2 || f.question.begun+moveHold+moveSlack+Overlap > seconds(1)+4*time.Second {
+		t.Errorf("%d further calls, the second %v behind the move", len(c), moveHold+moveSlack+Overlap)
+	}
+	const answerRoom = 900 * time.Millisecond
+	if second := crowdedHold + defaults().Slack; second+answerRoom > ToldWithin {
+		t.Errorf("the call behind a silent watch of a crowded discovery is made after %v, too late for %v", second, ToldWithin)
+	}
+}
+
+// TestTurnedAwayWaits: after a question that has waited in line in vain the next one comes later, but for a process that has just started, and
+// watches hold longer until discovery has not been crowded for some time.
+func TestTurnedAwayWaits(t *testing.T) {
+	for _, draw := range []float64{0, 0.5, 0.999} {
+		f := NewFollower(0, "a", defaults(), func() float64 { return draw })
+		drawn := time.Duration(draw * float64(TurnedAwayMost))
+		settled := youngFor + longWait + 1
+		for _, c := range []struct {
+			what       string
+			begun, now time.Duration
+			want       time.Duration
+		}{
+			{"a process that has just started", 0, longWait, drawn},
+			{"one that was turned away at once", settled - longWait + 1, settled, drawn},
+			{"one that has waited in vain", settled - longWait, settled, turnedAwayLeast + drawn},
+		} {
+			if got := f.turnedAway(c.begun, c.now); got != c.want {
+				t.Errorf("%s waits for %v, want %v", c.what, got, c.want)
+			}
+		}
+		f.goesOn = true
+		for since, want := range map[time.Duration]time.Duration{crowdedFor - 1: crowdedHold, crowdedFor: defaults().Hold} {
+			if hold, _ := f.patience(settled + since); hold != want {
+				t.Errorf("%v behind a refusal a watch holds for %v, want %v", since, hold, want)
+			}
+		}
+		f.goesOn = false
+		if hold, _ := f.patience(settled + 1); hold != defaults().Hold {
+			t.Errorf("the first call behind a refusal holds for %v", hold)
+		}
+	}
+}
+
+// TestAfterAMoveACrowdedDiscoveryIsGivenTime: a call behind a move is overdue later once one was turned away since.
+func TestAfterAMoveACrowdedDiscoveryIsGivenTime(t *testing.T) {
+	f := holding(t)
+	f.Move("b", seconds(10))
+	if _, slack := f.patience(seconds(10)); slack != moveSlack {
+		t.Errorf("a call after a move is overdue %v behind its hold", slack)
+	}
+	f.turnedAway(seconds(11), seconds(11))
+	if _, slack := f.patience(seconds(11)); slack != moveCrowdedSlack {
+		t.Errorf("a call after a move and a refusal is overdue %v behind its hold", slack)
+	}
+}
+
+// TestAMoveBehindAFailureKeepsTheWatch: discovery moves between the call that fails and the end of its watch. Whoever moved it was told that a
+// watch runs, so that one must go on at the new address.
+func TestAMoveBehindAFailureKeepsTheWatch(t *testing.T) {
+	f := holding(t)
+	f.Ended(one(t, f).ID, TurnedAway, 0, seconds(1))
+	f.Move("b", seconds(1.1))
+	if f.Watch(seconds(1.2)) {
+		t.Fatal("a second watch begins")
+	}
+	at, ok := f.Next()
+	if !ok {
+		t.Fatal("the follower waits for nothing")
+	}
+	f.Time(at)
+	if c := one(t, f); c.Address != "b" {
+		t.Errorf("the next call goes to %q", c.Address)
+	}
+}
+
+// TestAPendingMoveIsGoneOverToByTheNextWatch: without a watch nothing is called, and the next one goes to the last address.
+func TestAPendingMoveIsGoneOverToByTheNextWatch(t *testing.T) {
+	f := holding(t)
+	f.Stop()
+	f.Move("b", seconds(1))
+	f.Move("c", seconds(1.5))
+	f.Time(seconds(60))
+	if made := calls(f); len(made) > 0 {
+		t.Errorf("without a watch %+v", made)
+	}
+	f.Watch(seconds(61))
+	if c := one(t, f); c.Address != "c" {
+		t.Errorf("the watch calls %q", c.Address)
+	}
+}
+
+// TestAMoveWhileNewsIsTakenIn: an answer of the old address that is being taken in as discovery moves is no answer of the new one.
+func TestAMoveWhileNewsIsTakenIn(t *testing.T) {
+	f := holding(t)
+	f.Received(one(t, f).ID, 2, false)
+	f.Move("b", seconds(1))
+	f.Taken(true, seconds(1), seconds(1))
+	if c := one(t, f); c.Address != "b" || c.Hold != moveHold || c.GoesOn {
+		t.Errorf("behind the move: %+v", c)
+	}
+}
+
+// TestVersionsThatGoBack: changes of a lower version than the one held are not taken in, and the whole list is asked for. What they said
+// counts as told, so the list is not acted on until then.
+func TestVersionsThatGoBack(t *testing.T) {
+	f := holding(t)
+	f.SetVersion(7)
+	use, ok := f.Received(one(t, f).ID, 3, false)
+	if use || !ok {
+		t.Fatalf("a version that went back: use %t, ok %t", use, ok)
+	}
+	f.Taken(false, seconds(1), seconds(1))
+	c := one(t, f)
+	if c.From >= 0 {
+		t.Errorf("changes from %d are asked for, want the whole list", c.From)
+	}
+	if got := f.Standing(seconds(1.3)); got != Stale {
+		t.Errorf("the list is %s", got)
+	}
+	if use, _ := f.Received(c.ID, 3, true); !use {
+		t.Error("the whole list is not taken in")
+	}
+	f.Taken(true, seconds(2), seconds(2))
+	if got := f.Standing(seconds(2)); got != Confirmed || f.Version() != 3 {
+		t.Errorf("the list is %s, version %d", got, f.Version())
+	}
+}
+
+// TestGivenUpCallsCountForNothing: of three calls the first is given up, and what becomes of it ends no question.
+func TestGivenUpCallsCountForNothing(t *testing.T) {
+	f := holding(t)
+	first := one(t, f)
+	for range 2 {
+		at, _ := f.Next()
+		f.Time(at)
+	}
+	actions := f.Actions()
+	if !slices.Contains(actions, Action(GiveUp{first.ID, Superseded})) {
+		t.Errorf("the oldest of three is not given up: %+v", actions)
+	}
+	f.Ended(first.ID, TimedOut, 0, seconds(6))
+	if _, ok := f.Received(first.ID, 2, false); ok || len(f.question.out) != 2 {
+		t.Errorf("a call that was given up is taken in; %d are out", len(f.question.out))
+	}
+}
--- a/internal/discovery/plan/lease.go
+++ b/internal/discovery/plan/lease.go
@@ -14,8 +14,8 @@
 	leaseSlack = 300 * time.Millisecond
 	// LeaseTime is for how long a whole answer lets the list be acted on.
 	LeaseTime = ToldWithin + leaseSlack
-	// NothingListens is how long each dial must have failed for an outage to be believed behind a list that was stale already.
-	NothingListens = 20 * time.Second
+	// outageDials in a row that fail are an outage, whoever took a call before them. One may be this machine's own trouble.
+	outageDials = 3
 	// ServiceFailed is how long no call may have been answered, whatever else they met, until the old list is acted on again: a fleet that
 	// serves by an old list is better then than one that serves nobody.
 	ServiceFailed = 5 * time.Minute
@@ -52,18 +52,18 @@
 	Stale       Standing = "stale"       // it did not, though it may be there: the list is not acted on
 )
 
-// Lease says whether the server list may be acted on. A whole answer of discovery grants it for LeaseTime, and so does a dial that failed
-// while it lasts: what changes while discovery is out of reach counts as told from its return on. That holds as long as no call has got
-// past its dial since the answer. Whoever takes a call and gives no whole answer, be it with silence, a reset or a refusal, may be a
-// discovery that is down or one that is there and has news, and the list is not acted on by a guess.
+// Lease says whether the server list may be acted on. A whole answer of discovery grants it for LeaseTime, and so does a dial that fails:
+// what changes while discovery is out of reach counts as told from its return on. A dial is believed if no call has got past its own since
+// the answer, or if it is one of several in a row, and if nothing can have counted as told before it. Whoever takes a call and gives no
+// whole answer, be it with silence, a reset or a refusal, may be a discovery that is down or one that is there and has news, and the list
+// is not acted on by a guess.
 type Lease struct {
 	pushed   bool
 	granted  time.Duration // when the lease began
 	answered time.Duration // when discovery last gave a whole answer
 	listened bool          // someone took a call since then
-	failing  bool          // each dial since the first of a run has failed
-	first    time.Duration // when the first of the run began
-	last     time.Duration // and the last
+	failed   int           // dials in a row
+	outage   time.Duration // when the first of them began
 	moved    time.Duration
 	spoke    bool // an agent has said something other than a whole answer since its last one
 	spokeAt  time.Duration
@@ -108,7 +108,7 @@
 func (l *Lease) Ended(end CallEnd, begun, now time.Duration) {
 	switch end {
 	case Unreachable:
-		l.dialFailed(begun, now)
+		l.dialFailed(begun)
 	case TurnedAway, CutOff:
 		if !l.spoke {
 			l.spoke, l.spokeAt = true, now
@@ -116,14 +116,15 @@
 	}
 }
 
-func (l *Lease) taken() { l.listened, l.failing = true, false }
+func (l *Lease) taken() { l.listened, l.failed = true, 0 }
 
-func (l *Lease) dialFailed(begun, now time.Duration) {
-	if !l.failing {
-		l.failing, l.first, l.last = true, begun, begun
+func (l *Lease) dialFailed(begun time.Duration) {
+	if l.failed == 0 {
+		l.outage = begun
 	}
-	l.last = max(l.last, begun)
-	if !l.listened && now < l.granted+LeaseTime {
+	l.failed++
+	believed := !l.listened || l.failed >= outageDials
+	if believed && l.outage < l.granted+ToldWithin {
 		l.granted = max(l.granted, begun)
 	}
 }
@@ -136,16 +137,12 @@
 			return Confirmed
 		}
 		return Unconfirmed
-	case l.nothingListens(now), now >= l.answered+ServiceFailed:
+	case now >= l.answered+ServiceFailed:
 		return Unconfirmed
 	}
 	return Stale
 }
 
-func (l *Lease) nothingListens(now time.Duration) bool {
-	return l.failing && l.last-l.first >= NothingListens && now < l.last+LeaseTime
-}
-
 // never is later than any time.
 const never = time.Duration(1<<63 - 1)
 
--- /dev/null
+++ b/internal/discovery/plan/question.go
@@ -0,0 +1,111 @@
+package plan
+
+import "time"
+
+const (
+	// CallWait is how long a call that does not hold may take: discovery works calls off in turn, and who gives up sooner loses a place in
+	// the line.
+	CallWait = 3500 * time.Millisecond
+	// Overlap is how long a call may be overdue before another is made beside it, on a connection of its own. Of two that are out the older
+	// one is given up for a third, which leaves each that does not hold its CallWait. A silent call cannot be told from one that waits in
+	// line; to give it up for the next one would lose the place each time.
+	Overlap = CallWait / 2
+	// stallTime is how long an answer that has begun may pause before another call is made beside it.
+	stallTime = 300 * time.Millisecond
+	// After a move, until an answer, a watch holds for moveHold. moveSlack on top of that is when it is overdue: discovery turns away who has
+	// waited in its line for 2 s, and answers one call of a proxy at a time, so a second one that is made before then gives up the place of
+	// the first.
+	moveHold  = time.Second
+	moveSlack = 1200 * time.Millisecond
+	// moveCrowdedSlack takes the place of moveSlack once a call since the move was turned away: discovery is there, and may let a call
+	// wait for up to 3 s.
+	moveCrowdedSlack = 2100 * time.Millisecond
+	// crowdedFor is how long after it has turned a call away discovery counts as crowded, and crowdedHold for how long a watch that goes on
+	// waits for news then: a fleet whose watches all end after a shorter time asks more often than such a discovery answers, and goes on so
+	// for good. One silent call is still made up for within ToldWithin, and the second of two is not, as long as discovery is crowded.
+	crowdedFor  = 20 * time.Second
+	crowdedHold = 3300 * time.Millisecond
+)
+
+// question is asked by one call or several, until one of them is answered or all have failed.
+type question struct {
+	begun       time.Duration
+	moves       int // before it
+	goesOn      bool
+	hold, slack time.Duration
+	made        int
+	out         map[CallID]bool
+	older       CallID        // the last call but one; 0 for none
+	newest      CallID        // the last one
+	late        time.Duration // when the next call is made beside it
+}
+
+// ask asks for what has changed.
+func (f *Follower) ask(now time.Duration) {
+	q := &question{begun: now, moves: f.series.moves, goesOn: f.goesOn, out: map[CallID]bool{}}
+	q.hold, q.slack = f.patience(now)
+	f.question = q
+	f.goesOn = false
+	f.call(now)
+}
+
+// patience is how long the question's first call lets discovery wait for news, and how long after that it is overdue. An answer since the
+// move has told all that there was.
+func (f *Follower) patience(now time.Duration) (hold, slack time.Duration) {
+	settling := f.series.settling(now) && f.series.unheard
+	switch {
+	case settling && f.refused.come && f.refused.at > f.series.last.at:
+		return moveHold, moveCrowdedSlack
+	case settling:
+		return moveHold, moveSlack
+	case f.goesOn && f.refused.within(crowdedFor, now):
+		return max(f.settings.Hold, crowdedHold), f.settings.Slack
+	}
+	return f.settings.Hold, f.settings.Slack
+}
+
+// call makes the question's next call. Only the first one waits for news: the others are made because nothing is known of what it should
+// have told. The call before stays out: the old one may have a place in discovery's line, or lead to a machine that was cut off meanwhile.
+func (f *Follower) call(now time.Duration) {
+	q := f.question
+	f.lastCall++
+	c := Call{ID: f.lastCall, Address: f.address, From: f.version, GoesOn: q.goesOn && q.made == 0, Beside: q.made > 0}
+	overdue := Overlap
+	c.Wait = CallWait
+	switch {
+	case f.version < 0: // answered at once with the whole list, once it is its turn
+		overdue, c.Wait = CallWait, CallWait+Overlap
+	case q.made == 0:
+		c.Hold = q.hold
+		overdue, c.Wait = q.hold+q.slack, q.hold+CallWait
+	}
+	if c.Beside {
+		f.act(CloseIdle{})
+	}
+	if q.older != 0 {
+		if q.out[q.older] {
+			f.act(GiveUp{q.older, Superseded})
+			delete(q.out, q.older)
+		}
+		f.act(ReportFailure{})
+	}
+	q.older, q.newest = q.newest, c.ID
+	q.made++
+	q.out[c.ID] = true
+	q.late = now + overdue
+	f.act(MakeCall{c})
+}
+
+// giveUp ends the question and its calls.
+func (f *Follower) giveUp(end CallEnd) {
+	if f.question == nil {
+		return
+	}
+	for id := f.question.newest; id > 0 && len(f.question.out) > 0; id-- {
+		if f.question.out[id] {
+			f.act(GiveUp{id, end})
+			delete(f.question.out, id)
+		}
+	}
+	f.question = nil
+}
--- a/internal/discovery/trace.go
+++ b/internal/discovery/trace.go
@@ -51,13 +51,13 @@
 	if !d.log.Enabled(ctx, level) {
 		return
 	}
-	d.log.Log(ctx, level, TraceCall, "took_ms", time.Since(begun).Milliseconds(), "seq", d.seq.Load(), "error", err,
+	d.log.Log(ctx, level, TraceCall, "took_ms", time.Since(begun).Milliseconds(), "seq", d.Seq(), "error", err,
 		"end", string(end), "age_ms", d.Age().Milliseconds(), "url", url)
 }
 
 // logStanding writes the line of a change in how far the list can be relied on, with the calls that have failed since the start.
 func (d *Client) logStanding(before, now plan.Standing, age time.Duration, failed map[plan.CallEnd]int64) {
-	fields := []any{"before", before, "now", now, "age_ms", age.Milliseconds(), "seq", d.seq.Load(), "failed_calls", failed}
+	fields := []any{"before", before, "now", now, "age_ms", age.Milliseconds(), "seq", d.Seq(), "failed_calls", failed}
 	switch now {
 	case plan.Stale:
 		d.log.Warn("the server list may be out of date: discovery may be there, and gives no whole answer; nothing is sent until it does", fields...)
@@ -72,11 +72,11 @@
 const mostNamed = 8
 
 // logNews writes which servers a list tells to drain, to be gone or to be in service.
-func (d *Client) logNews(kind balance.ListKind, seq int64, entries []balance.Entry) {
+func (d *Client) logNews(kind balance.ListKind, before, seq int64, entries []balance.Entry) {
 	if kind == balance.Delta && len(entries) == 0 || !d.log.Enabled(context.Background(), slog.LevelInfo) {
 		return
 	}
-	fields := []any{"kind", kind.String(), "seq", seq, "before", d.seq.Load(), "age_ms", d.Age().Milliseconds(), "entries", len(entries)}
+	fields := []any{"kind", kind.String(), "seq", seq, "before", before, "age_ms", d.Age().Milliseconds(), "entries", len(entries)}
 	for _, group := range []struct {
 		name  string
 		state balance.State
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,7 +17,6 @@
 	"syscall"
 	"time"
 
-	"brasswell/balance"
 	"brasswell/internal/backends"
 	"brasswell/internal/body"
 	"brasswell/internal/callers"
@@ -313,7 +312,7 @@
 			return fmt.Errorf("known: %w", err)
 		}
 	}
-	p.discovery.Take(c, balance.Cached)
+	p.discovery.Known(c)
 	return nil
 }
 
