Discovery: a watch begins with a call that does not hold, so the list is confirmed at once

Callers were refused for up to 2.5 s longer than they had to be: the first call behind an outage, a start or a move asked discovery to wait for news, and where there was none only the end of that wait confirmed the list. It was no cost while nothing depended on an answer.

The watch that goes on behind the answer waits for news as before, and costs discovery no place in its line. When calls are overdue is unchanged. TestAWatchBeginsWithACallThatDoesNotHold fails before; TestALateAnswerStillCounts is now about the second call, which holds. go test -race ./internal/discovery/... passes.

--- a/internal/discovery/plan/lease.go
+++ b/internal/discovery/plan/lease.go
@@ -65,8 +65,8 @@
 	failed   int           // dials in a row
 	outage   time.Duration // when the first of them began
 	moved    time.Duration
-	spoke    bool // an agent has said something other than a whole answer since its last one
-	spokeAt  time.Duration
+	spoke    bool          // an agent has met a call with something other than silence or a whole answer, since its last one
+	told     time.Duration // when what it had then counts as told
 	dropped  bool // an answer was thrown away that counts as told
 	drop     time.Duration
 }
@@ -109,9 +109,9 @@
 	switch end {
 	case Unreachable:
 		l.dialFailed(begun)
-	case TurnedAway, CutOff:
+	case TurnedAway, CutOff, NoAnswer:
 		if !l.spoke {
-			l.spoke, l.spokeAt = true, now
+			l.spoke, l.told = true, max(now, l.moved+moveToldWithin)
 		}
 	}
 }
@@ -152,7 +152,7 @@
 	if l.pushed {
 		end = never // its silence is an outage
 		if l.spoke {
-			end = max(l.spokeAt, l.moved+moveToldWithin) + leaseSlack
+			end = l.told + leaseSlack
 		}
 	}
 	if l.dropped {
--- a/internal/discovery/plan/question.go
+++ b/internal/discovery/plan/question.go
@@ -12,14 +12,12 @@
 	Overlap = CallWait / 2
 	// stallTime is how long an answer that has begun may pause before another call is made beside it.
 	stallTime = 300 * time.Millisecond
-	// After a move, until an answer, a watch holds for moveHold. moveSlack on top of that is when it is overdue: discovery turns away who has
-	// waited in its line for 2 s, and answers one call of a proxy at a time, so a second one that is made before then gives up the place of
-	// the first.
-	moveHold  = time.Second
-	moveSlack = 1200 * time.Millisecond
-	// moveCrowdedSlack takes the place of moveSlack once a call since the move was turned away: discovery is there, and may let a call
+	// After a move, until an answer, a call is overdue after moveOverdue: discovery turns away who has waited in its line for 2 s, and
+	// answers one call of a proxy at a time, so a second one that is made before then gives up the place of the first.
+	moveOverdue = 2200 * time.Millisecond
+	// moveCrowdedOverdue takes the place of moveOverdue once a call since the move was turned away: discovery is there, and may let a call
 	// wait for up to 3 s.
-	moveCrowdedSlack = 2100 * time.Millisecond
+	moveCrowdedOverdue = 3100 * time.Millisecond
 	// crowdedFor is how long after it has turned a call away discovery counts as crowded, and crowdedHold for how long a watch that goes on
 	// waits for news then: a fleet whose watches all end after a shorter time asks more often than such a discovery answers, and goes on so
 	// for good. One silent call is still made up for within ToldWithin, and the second of two is not, as long as discovery is crowded.
@@ -32,7 +30,8 @@
 	begun       time.Duration
 	moves       int // before it
 	goesOn      bool
-	hold, slack time.Duration
+	hold        time.Duration // of its first call
+	overdue     time.Duration // when that is
 	made        int
 	out         map[CallID]bool
 	older       CallID        // the last call but one; 0 for none
@@ -43,25 +42,29 @@
 // ask asks for what has changed.
 func (f *Follower) ask(now time.Duration) {
 	q := &question{begun: now, moves: f.series.moves, goesOn: f.goesOn, out: map[CallID]bool{}}
-	q.hold, q.slack = f.patience(now)
+	q.hold, q.overdue = f.patience(now)
 	f.question = q
 	f.goesOn = false
 	f.call(now)
 }
 
-// patience is how long the question's first call lets discovery wait for news, and how long after that it is overdue. An answer since the
-// move has told all that there was.
-func (f *Follower) patience(now time.Duration) (hold, slack time.Duration) {
-	settling := f.series.settling(now) && f.series.unheard
+// patience is for how long the question's first call lets discovery wait for news, and when it is overdue. A watch that does not go on
+// begins with a call that is answered at once: until then it is not known whether the list is as discovery has it, and only an answer says
+// so, with news or without.
+func (f *Follower) patience(now time.Duration) (hold, overdue time.Duration) {
+	settling := f.series.settling(now) && f.series.unheard // an answer since the move has told all that there was
 	switch {
 	case settling && f.refused.come && f.refused.at > f.series.last.at:
-		return moveHold, moveCrowdedSlack
+		return 0, moveCrowdedOverdue
 	case settling:
-		return moveHold, moveSlack
+		return 0, moveOverdue
 	case f.goesOn && f.refused.within(crowdedFor, now):
-		return max(f.settings.Hold, crowdedHold), f.settings.Slack
+		hold = max(f.settings.Hold, crowdedHold)
+		return hold, hold + f.settings.Slack
+	case f.goesOn:
+		return f.settings.Hold, f.settings.Hold + f.settings.Slack
 	}
-	return f.settings.Hold, f.settings.Slack
+	return 0, f.settings.Hold + f.settings.Slack
 }
 
 // call makes the question's next call. Only the first one waits for news: the others are made because nothing is known of what it should
@@ -77,7 +80,7 @@
 		overdue, c.Wait = CallWait, CallWait+Overlap
 	case q.made == 0:
 		c.Hold = q.hold
-		overdue, c.Wait = q.hold+q.slack, q.hold+CallWait
+		overdue, c.Wait = q.overdue, max(q.hold, f.settings.Hold)+CallWait
 	}
 	if c.Beside {
 		f.act(CloseIdle{})
