--- a/internal/discovery/plan/follower.go
+++ b/internal/discovery/plan/follower.go
@@ -186,6 +186,7 @@
 // Move takes in another address of discovery, which is gone over to at once or behind others that follow soon. The list that is held stays,
 // and so does its version: what has changed since is asked for at the new address. The caller sees to it that a watch begins.
 func (f *Follower) Move(address string, now time.Duration) {
+	f.Moved(now)
 	if f.series.add(address, now) {
 		f.goOver(now)
 	}
@@ -195,7 +196,6 @@
 func (f *Follower) goOver(now time.Duration) {
 	f.address = f.series.goOver(now)
 	f.goesOn = false
-	f.Moved(now)
 	waiting := f.question != nil || f.pause.untilMove
 	f.giveUp(Moved)
 	f.act(CloseIdle{})
--- a/internal/discovery/plan/lease.go
+++ b/internal/discovery/plan/lease.go
@@ -67,7 +67,7 @@
 	moved    time.Duration
 	spoke    bool          // an agent has met a call with something other than silence or a whole answer, since its last one
 	told     time.Duration // when what it had then counts as told
-	dropped  bool // an answer was thrown away that counts as told
+	dropped  bool          // an answer was thrown away that counts as told
 	drop     time.Duration
 }
 
--- /dev/null
+++ b/internal/discovery/plan/model/model_test.go
@@ -0,0 +1,200 @@
+package model
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"brasswell/internal/discovery/plan"
+)
+
+var courses = flag.Int("courses", 100_000, "how many drawn courses are played")
+
+// sum is what came of many courses.
+type sum struct {
+	mu           sync.Mutex
+	late, pushed int
+	latest       time.Duration
+	worst        uint64
+	unconfirmed  int
+	outageHeld   int
+	calls        int
+	held, length time.Duration
+	examples     []string
+}
+
+func (s *sum) add(c Course, v Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls += v.Calls
+	s.held += v.HeldBack
+	s.length += c.Length - c.Start
+	if v.Late > 0 {
+		s.late++
+		if c.Pushed {
+			s.pushed++
+		}
+		if v.Late > s.latest {
+			s.latest, s.worst = v.Late, c.Seed
+		}
+	}
+	if !v.Confirmed {
+		s.unconfirmed++
+	}
+	if v.OutageHeld > 0 {
+		s.outageHeld++
+	}
+	if (v.Late > 0 || !v.Confirmed || v.OutageHeld > 0) && len(s.examples) < 5 {
+		s.examples = append(s.examples, fmt.Sprintf("%+v: %+v", c, v))
+	}
+}
+
+// playMany plays courses on all cores; rule makes a rule for each, nil for the follower's own.
+func playMany(n int, draw func(n int) Course, rule func() Rule) *sum {
+	s := &sum{}
+	var next atomic.Int64
+	var all sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for {
+				i := int(next.Add(1)) - 1
+				if i >= n {
+					return
+				}
+				c := draw(i)
+				var r Rule
+				if rule != nil {
+					r = rule()
+				}
+				s.add(c, Play(c, r))
+			}
+		})
+	}
+	all.Wait()
+	return s
+}
+
+func drawn(n int) Course { return Draw(uint64(n)) }
+
+// TestDrawnCourses: whatever calls meet, the list is not acted on behind the grace of a change that counts as told, an outage in which no
+// connection comes up holds nothing back, and one whole answer ends all holding back.
+func TestDrawnCourses(t *testing.T) {
+	began := time.Now()
+	s := playMany(*courses, drawn, nil)
+	t.Logf("%d courses in %v, %d calls, %.3f of the time held back", *courses, time.Since(began).Round(time.Millisecond), s.calls, s.held.Seconds()/s.length.Seconds())
+	if s.late > 0 || s.unconfirmed > 0 || s.outageHeld > 0 {
+		t.Errorf("%d courses late (%d pushed), by %v at most (seed %d); %d not confirmed by an answer; %d held back in an outage:\n%v", s.late, s.pushed, s.latest, s.worst, s.unconfirmed, s.outageHeld, s.examples)
+	}
+}
+
+// TestAllShortCourses: every way in which the first calls can end, behind a watch that goes on, is reset or falls silent, with a change
+// before and behind that.
+func TestAllShortCourses(t *testing.T) {
+	const depth = 4
+	fates := Fates()
+	ends := []func(*Course){
+		func(*Course) {},
+		func(c *Course) { c.Resets = []time.Duration{500 * time.Millisecond} },
+		func(c *Course) { c.Silences = []time.Duration{500 * time.Millisecond} },
+		func(c *Course) {
+			c.Outages = []Outage{{From: 500 * time.Millisecond, To: 5 * time.Second, Fate: RefusedLate}}
+		},
+	}
+	changes := []time.Duration{400 * time.Millisecond, 600 * time.Millisecond, 5500 * time.Millisecond}
+	all := 1
+	for range depth {
+		all *= len(fates)
+	}
+	course := func(n int) Course {
+		c := Course{Seed: uint64(n), Length: 30 * time.Second, Changes: changes, Calls: []Fate{Well}}
+		ends[n%len(ends)](&c)
+		n /= len(ends)
+		for range depth {
+			c.Calls = append(c.Calls, fates[n%len(fates)])
+			n /= len(fates)
+		}
+		return c
+	}
+	s := playMany(all*len(ends), course, nil)
+	t.Logf("%d courses, %d calls", all*len(ends), s.calls)
+	if s.late > 0 || s.unconfirmed > 0 {
+		t.Errorf("%d courses late, by %v at most; %d not confirmed by an answer:\n%v", s.late, s.latest, s.unconfirmed, s.examples)
+	}
+}
+
+// TestConvictsEarlierRules: the rules of earlier versions are late.
+func TestConvictsEarlierRules(t *testing.T) {
+	const n = 10_000
+	for name, rule := range map[string]func() Rule{
+		"cd021f6 and 690a85e: any list is acted on": func() Rule { return anyAge{} },
+		"1bb215d: signs of an outage":               func() Rule { return &signs{} },
+	} {
+		s := playMany(n, drawn, rule)
+		t.Logf("%s: %d of %d courses late, by %v at most", name, s.late, n, s.latest)
+		if s.late == 0 {
+			t.Errorf("%s: not convicted", name)
+		}
+	}
+}
+
+// anyAge is a rule that never holds a list back.
+type anyAge struct{}
+
+func (anyAge) Answered(bool, time.Duration)                                {}
+func (anyAge) Moved(time.Duration)                                         {}
+func (anyAge) Connected(bool)                                              {}
+func (anyAge) AnswerBegun()                                                {}
+func (anyAge) Ended(plan.Call, plan.CallEnd, time.Duration, time.Duration) {}
+func (anyAge) MayAct(time.Duration) bool                                   { return true }
+
+// signs is the rule that went by signs of life and of an outage.
+type signs struct {
+	current                       time.Duration
+	alive, down, answered, waited bool
+}
+
+func (r *signs) Answered(_ bool, begun time.Duration) { *r = signs{current: begun, answered: true} }
+func (*signs) Moved(time.Duration)                    {}
+func (*signs) Connected(bool)                         {}
+func (*signs) AnswerBegun()                           {}
+
+func (r *signs) Ended(c plan.Call, end plan.CallEnd, begun, now time.Duration) {
+	const promptRefusal = 250 * time.Millisecond
+	switch end {
+	case plan.CutOff:
+		r.signOfLife(now)
+	case plan.Unreachable:
+		r.down = true
+	case plan.NoAnswer:
+		r.down = r.down || c.GoesOn
+	case plan.TurnedAway:
+		switch {
+		case now-begun <= promptRefusal:
+			r.signOfLife(now)
+		case c.GoesOn:
+			r.down = true
+		case r.down || r.alive:
+		case r.answered:
+			r.alive = true
+		default:
+			r.waited = true
+		}
+	}
+}
+
+func (r *signs) signOfLife(now time.Duration) {
+	if r.down || r.waited {
+		r.current = now
+	}
+	r.alive, r.down, r.waited = true, false, false
+}
+
+func (r *signs) MayAct(now time.Duration) bool {
+	const stale, most = 6300 * time.Millisecond, 20 * time.Second
+	age := now - r.current
+	return r.down || !r.alive || age < stale || age >= stale+most
+}
--- a/internal/discovery/plan/question.go
+++ b/internal/discovery/plan/question.go
@@ -27,16 +27,16 @@
 
 // question is asked by one call or several, until one of them is answered or all have failed.
 type question struct {
-	begun       time.Duration
-	moves       int // before it
-	goesOn      bool
-	hold        time.Duration // of its first call
-	overdue     time.Duration // when that is
-	made        int
-	out         map[CallID]bool
-	older       CallID        // the last call but one; 0 for none
-	newest      CallID        // the last one
-	late        time.Duration // when the next call is made beside it
+	begun   time.Duration
+	moves   int // before it
+	goesOn  bool
+	hold    time.Duration // of its first call
+	overdue time.Duration // when that is
+	made    int
+	out     map[CallID]bool
+	older   CallID        // the last call but one; 0 for none
+	newest  CallID        // the last one
+	late    time.Duration // when the next call is made beside it
 }
 
 // ask asks for what has changed.
