Tests: the pauses of discovery's clients are seeded

TestThreeHundredComeBack, TestToldInTimeWhateverACallMet, TestManyStartAtOnce and TestUnheardAfterAMove drew pauses from the process's random numbers, so a failure could not be played again. No other test file draws from an unseeded source (grep for rand.* outside rand.New in *_test.go finds none).

--- a/internal/discovery/line_test.go
+++ b/internal/discovery/line_test.go
@@ -126,7 +126,7 @@
 func TestUnheardAfterAMove(t *testing.T) {
 	const plays, mostCalls = 1300, 12 // mostCalls is of the mean; every 200 ms there would be 31
 	all := 0
-	for range plays {
+	for number := range uint64(plays) {
 		synctest.Test(t, func(t *testing.T) {
 			s := newService()
 			defer s.close()
@@ -148,6 +148,7 @@
 					cancel()
 				})
 			d.client.Transport.(*http.Transport).DialContext = s.dial
+			seed(d, number)
 			d.Resume(1)
 			d.Move("discovery:2")
 			d.Watch(ctx)
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -218,7 +218,7 @@
 
 // followAt plays one proxy against a service of which calls meet a fault until back, and once more after it; the change
 // is there from changed on. It returns how long after both the proxy has been told.
-func followAt(t *testing.T, askEvery, changed, back time.Duration, seed uint64, during, after fault) (late time.Duration, calls int) {
+func followAt(t *testing.T, askEvery, changed, back time.Duration, draws uint64, during, after fault) (late time.Duration, calls int) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := newService()
@@ -250,12 +250,13 @@
 				f.once.Do(func() { close(f.told) })
 			})
 		d.client.Transport.(*http.Transport).DialContext = s.dial
+		seed(d, draws)
 		f.watch = func() { watches.Go(func() { d.Watch(ctx) }) }
 		var err error
 		f.balancer, err = balance.New(balance.Settings{
 			Instances: 1, MaxAttempts: 1, AskForList: true, AskEvery: askEvery,
 			Classes: []balance.Class{{Aim: time.Second, GiveUp: time.Second}},
-		}, seed, f)
+		}, draws, f)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -499,6 +500,7 @@
 				}
 			})
 		d.client.Transport.(*http.Transport).DialContext = h.dial
+		seed(d, uint64(n))
 		f.watch = func() { watches.Go(func() { d.Watch(ctx) }) }
 		var err error
 		if f.balancer, err = balance.New(balance.Settings{
