Soak: draws what makes a list old: bad calls up to 0.9, watches that end, renumbering, pauses

Now: 0.3 to 0.9 of the calls bad, of up to four kinds, up to three mixes a run; watches reset or silent, once right before the first drain; discovery renumbered; processes stopped for up to 0.15 s, all of them behind the first drain's news; SIGHUP round SIGTERM; clocks stepped at ends and starts. Faults that make a list old are in eight of ten runs. An agent on the processes' machine answers at once or not at all, so hung, slow and waiting calls are not drawn where lists are pushed.

Not done: backends' connections that come up late, steps during an upgrade, system calls and folders that fail.

--- a/internal/rig/soak/act.go
+++ b/internal/rig/soak/act.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 
 	"brasswell/internal/standin"
 )
@@ -15,7 +16,7 @@
 		who = r.fleet.Backends[e.Backend].State().ID
 		r.note(who, string(e.Do))
 		err = r.actOnBackend(ctx, e, who)
-	case SpoilCalls, GoDown, ResetWatches:
+	case SpoilCalls, GoDown, ResetWatches, MuteWatches, Renumber:
 		who = "discovery"
 		r.note(who, fmt.Sprintf("%s %+v %v for %v", e.Do, e.Mix, e.Call, e.For))
 		r.actOnDiscovery(ctx, e)
@@ -49,6 +50,10 @@
 		m.idle(ctx, e.Many, e.For)
 	case TakeDescs:
 		return m.takeDescriptors(ctx, e.For)
+	case Pause:
+		return m.pause(ctx, e.For)
+	case Hangup:
+		m.process.Signal(syscall.SIGHUP) // it may have ended
 	}
 	return nil
 }
@@ -94,7 +99,7 @@
 	case SpoilCalls:
 		r.setMix(e.Mix)
 		sleep(ctx, e.For)
-		r.setMix(Mix{})
+		r.endMix(e.Mix)
 	case GoDown:
 		r.setDown(&e.Call)
 		r.fleet.Discovery.EndWatches()
@@ -102,6 +107,10 @@
 		r.setDown(nil)
 	case ResetWatches:
 		r.fleet.Discovery.ResetWatches()
+	case MuteWatches:
+		r.fleet.Discovery.SilenceWatches()
+	case Renumber:
+		r.fleet.Discovery.Renumber()
 	}
 }
 
@@ -111,6 +120,15 @@
 	r.mix = m
 }
 
+// endMix ends a mix, unless another one has taken its place.
+func (r *run) endMix(m Mix) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mix == m {
+		r.mix = Mix{}
+	}
+}
+
 func (r *run) setDown(call *standin.Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rig/soak/member.go
+++ b/internal/rig/soak/member.go
@@ -196,6 +196,20 @@
 	return nil
 }
 
+// pause stops the process for a moment.
+func (m *member) pause(ctx context.Context, d time.Duration) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process.PID() == 0 {
+		return nil
+	}
+	if err := m.process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	sleep(ctx, d)
+	return m.process.Signal(syscall.SIGCONT)
+}
+
 // halfRequests has callers send half a request and stay until ctx is done or they are ended.
 func (m *member) halfRequests(ctx context.Context, many int) {
 	m.connect(ctx, many, "POST /api/item HTTP/1.1\r\nHost: backend.local\r\nX-Txn: half\r\nContent-Le", 6*time.Second)
--- a/internal/rig/soak/plan.go
+++ b/internal/rig/soak/plan.go
@@ -30,13 +30,16 @@
 	QuietBeginning  Fault = "quiet-beginning"  // nothing happens for a while first
 	FewDescriptors  Fault = "few-descriptors"  // a process has few descriptors
 	DescriptorsGone Fault = "descriptors-gone" // a process has none left for a while
+	WatchEnds       Fault = "watch-ends"       // open watches are reset or fall silent, at moments of their own
+	Renumbered      Fault = "renumbered"       // discovery is started anew, with lower versions
+	Pauses          Fault = "pauses"           // processes are stopped for a moment, at random and right behind news
 )
 
 // Faults are all that may be drawn, in order.
 func Faults() []Fault {
 	return []Fault{
 		ClockSteps, SpoiltCalls, SlowDiscovery, Outage, Moves, Drains, BackendFaults, Restarts, Kills, Leavers, HalfRequests, Crowd, QuietBeginning,
-		FewDescriptors, DescriptorsGone,
+		FewDescriptors, DescriptorsGone, WatchEnds, Renumbered, Pauses,
 	}
 }
 
@@ -69,6 +72,10 @@
 	SpoilCalls    Action = "spoil-calls"   // as Mix says, for a while
 	GoDown        Action = "go-down"       // discovery, for a while; Call is what becomes of calls
 	ResetWatches  Action = "reset-watches" // that are open; discovery goes on
+	MuteWatches   Action = "mute-watches"  // that are open say nothing more
+	Renumber      Action = "renumber"      // discovery counts its versions from 1 on
+	Pause         Action = "pause"         // SIGSTOP, and SIGCONT a moment later
+	Hangup        Action = "hangup"        // SIGHUP with nothing new, whatever the process is at
 	DrainBackend  Action = "drain"         // it goes on working
 	RemoveBackend Action = "remove"        // it goes on working
 	ReturnBackend Action = "return"        // it dies and comes back cold
@@ -147,10 +154,20 @@
 	quietTime = 0.4
 	// settleTime at the end of a run nothing new begins in, so that the last changes are put to the test.
 	settleTime = 8 * time.Second
-	// faultChance is the chance of each fault to be in a run.
-	faultChance = 0.5
+	// faultChance is the chance of each fault to be in a run, and coreChance that of those that put the age of the list to the test, which
+	// show together alone.
+	faultChance, coreChance = 0.5, 0.8
 )
 
+// chance is that of a fault to be in a run.
+func (f Fault) chance() float64 {
+	switch f {
+	case Drains, SpoiltCalls, WatchEnds:
+		return coreChance
+	}
+	return faultChance
+}
+
 // Draw draws a run from a seed. processes is how many there are; 0 for as many as the seed says.
 func Draw(seed uint64, length time.Duration, processes int, from []Fault) Plan {
 	dice := rand.New(rand.NewPCG(seed, 0x50a6))
@@ -161,7 +178,7 @@
 		p.Processes = drawn
 	}
 	for _, f := range Faults() {
-		if drawn := dice.Float64() < faultChance; drawn && slices.Contains(from, f) {
+		if drawn := dice.Float64() < f.chance(); drawn && slices.Contains(from, f) {
 			p.Faults = append(p.Faults, f)
 		}
 	}
@@ -207,7 +224,8 @@
 	}{
 		{ClockSteps, d.addClockSteps}, {SpoiltCalls, d.addSpoiltCalls}, {Outage, d.addOutage}, {Moves, d.addMoves}, {Drains, d.addDrains},
 		{BackendFaults, d.addBackendFaults}, {Restarts, d.addRestarts}, {Kills, d.addKills}, {HalfRequests, d.addHalfRequests},
-		{Crowd, d.addCrowd}, {DescriptorsGone, d.addDescriptorsGone},
+		{Crowd, d.addCrowd}, {DescriptorsGone, d.addDescriptorsGone}, {WatchEnds, d.addWatchEnds}, {Renumbered, d.addRenumbered},
+		{Pauses, d.addPauses},
 	} {
 		if d.has(one.fault) {
 			one.add()
@@ -234,13 +252,41 @@
 	}
 }
 
+const (
+	// Of the calls leastBad to mostBad meet a fault, of mostKinds kinds at most.
+	leastBad, mostBad, mostKinds = 0.3, 0.9, 4
+	// mostMixes is how often what calls meet changes in a run, at most.
+	mostMixes = 3
+	// mostPause is how long a process is held up at most.
+	mostPause = 150 * time.Millisecond
+)
+
+// addSpoiltCalls draws what calls to discovery meet, and changes it during the run.
 func (d *drawing) addSpoiltCalls() {
+	mixes := 1 + d.dice.IntN(mostMixes)
+	each := (d.end - d.begin) / time.Duration(mixes)
+	for n := range mixes {
+		d.add(Event{At: d.begin + time.Duration(n)*each, Do: SpoilCalls, Mix: d.mix(), For: each})
+	}
+}
+
+// mix draws shares of calls. An agent on the processes' own machine answers at once, or not at all while discovery is down.
+func (d *drawing) mix() Mix {
 	mix := Mix{Line: 2 * time.Second, Stall: 3500 * time.Millisecond}
-	shares := []*float64{&mix.Refused, &mix.TurnedAway, &mix.Slow, &mix.Cut, &mix.Stalled, &mix.Hung, &mix.Reset}
-	for range 1 + d.dice.IntN(3) {
-		*shares[d.dice.IntN(len(shares))] += 0.1 + 0.1*d.dice.Float64()
+	shares := []*float64{&mix.Refused, &mix.Cut, &mix.Reset}
+	if d.plan.Ask {
+		shares = append(shares, &mix.TurnedAway, &mix.Slow, &mix.Stalled, &mix.Hung)
+	}
+	left := leastBad + (mostBad-leastBad)*d.dice.Float64()
+	for kinds := 1 + d.dice.IntN(mostKinds); kinds > 0; kinds-- {
+		part := left
+		if kinds > 1 {
+			part *= d.dice.Float64()
+		}
+		left -= part
+		*shares[d.dice.IntN(len(shares))] += part
 	}
-	d.add(Event{At: d.begin, Do: SpoilCalls, Mix: mix, For: d.plan.Length})
+	return mix
 }
 
 func (d *drawing) addOutage() {
@@ -251,6 +297,41 @@
 	d.add(Event{At: d.moment(), Do: GoDown, For: d.between(time.Second, 12*time.Second), Call: calls[d.dice.IntN(len(calls))]})
 }
 
+// addWatchEnds has open watches end twice, once shortly before a backend drains.
+func (d *drawing) addWatchEnds() {
+	for _, at := range []time.Duration{d.moment(), max(d.firstDrain()-d.between(100*time.Millisecond, time.Second), d.begin)} {
+		do := ResetWatches
+		if d.dice.IntN(2) == 0 {
+			do = MuteWatches
+		}
+		d.add(Event{At: at, Do: do})
+	}
+}
+
+// firstDrain is when the first backend drains; the run's end where none does.
+func (d *drawing) firstDrain() time.Duration {
+	first := d.end
+	for _, e := range d.plan.Events {
+		if e.Do == DrainBackend || e.Do == RemoveBackend {
+			first = min(first, e.At)
+		}
+	}
+	return first
+}
+
+func (d *drawing) addRenumbered() { d.add(Event{At: d.moment(), Do: Renumber}) }
+
+// addPauses stops processes for a moment, and all of them right behind the news of the first drain.
+func (d *drawing) addPauses() {
+	for range d.times(time.Second) {
+		d.add(Event{At: d.moment(), Do: Pause, Process: d.process(), For: d.between(20*time.Millisecond, mostPause)})
+	}
+	news := d.firstDrain()
+	for process := range d.plan.Processes {
+		d.add(Event{At: news + d.between(0, 20*time.Millisecond), Do: Pause, Process: process, For: mostPause})
+	}
+}
+
 // addMoves adds series of new configurations, each a fraction of a second behind the last.
 func (d *drawing) addMoves() {
 	for range d.times(8 * time.Second) {
@@ -292,9 +373,22 @@
 	}
 }
 
+// addRestarts has processes end and start again. Some are sent SIGHUP before and behind SIGTERM, and clocks are stepped at the end and at the
+// start of one, where clocks are stepped at all.
 func (d *drawing) addRestarts() {
 	for process := range min(d.plan.Processes-1, d.times(6*time.Second)) {
-		d.add(Event{At: d.moment(), Do: Terminate, Process: process})
+		at := d.moment()
+		d.add(Event{At: at, Do: Terminate, Process: process})
+		if d.dice.IntN(2) == 0 {
+			for range 3 {
+				d.add(Event{At: max(at+d.between(-300*time.Millisecond, 300*time.Millisecond), 0), Do: Hangup, Process: process})
+			}
+		}
+		if d.has(ClockSteps) {
+			for _, behind := range []time.Duration{d.between(0, time.Second), d.between(time.Second, 4*time.Second)} {
+				d.add(Event{At: at + behind, Do: StepClock, Process: process, By: steps[d.dice.IntN(len(steps))]})
+			}
+		}
 	}
 }
 
--- a/internal/rig/soak/plan_test.go
+++ b/internal/rig/soak/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -38,8 +39,9 @@
 		}
 	}
 	for _, f := range Faults() {
-		if drawn[f] < 100 || drawn[f] > 200 { // of 300 even draws; 5.8 deviations, and the seeds are fixed
-			t.Errorf("%s is in %d of 300 runs", f, drawn[f])
+		mean, deviation := 300*f.chance(), math.Sqrt(300*f.chance()*(1-f.chance()))
+		if off := math.Abs(float64(drawn[f]) - mean); off > 5.8*deviation {
+			t.Errorf("%s is in %d of 300 runs, want %.0f", f, drawn[f], mean)
 		}
 	}
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -51,6 +51,7 @@
 	// answered is when each client was last answered.
 	answered map[client]time.Time
 	watches  *watchEnd     // of the watches that are open; made anew when they end
+	behind   int64         // by how much the versions that are told are lower than seq
 	draw     func() Call   // what becomes of a call; nil for nothing amiss
 	news     chan struct{} // closed and made anew with each change
 	server   *http.Server
@@ -183,7 +184,10 @@
 
 // list is what changed after a version, or the whole list for one below 0. d.mu must be held.
 func (d *Discovery) list(from int64) hostList {
-	l := hostList{Seq: d.seq, Whole: from < 0, Hosts: []Host{}}
+	l := hostList{Seq: d.seq - d.behind, Whole: from < 0, Hosts: []Host{}}
+	if from >= 0 {
+		from += d.behind
+	}
 	for id, h := range d.hosts {
 		if from < 0 && h.Health != "removed" || from >= 0 && d.changed[id] > from {
 			l.Hosts = append(l.Hosts, h)
@@ -218,11 +222,7 @@
 		from, _ = strconv.ParseInt(text, 10, 64)
 		holdMS, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
 		if end := d.await(r.Context(), from, time.Duration(holdMS)*time.Millisecond); end != nil {
-			if end.reset {
-				resetCall(w)
-			} else {
-				w.WriteHeader(http.StatusServiceUnavailable)
-			}
+			end.meet(w, r)
 			return
 		}
 	}
@@ -280,23 +280,55 @@
 
 // watchEnd is how the watches that are open at one time end, if they do before their news or the end of their hold.
 type watchEnd struct {
-	done  chan struct{} // closed when they end
-	reset bool          // their connections are reset, in place of an answer 503
+	done chan struct{} // closed when they end
+	by   endBy
+}
+
+// endBy is what a watch that ends meets.
+type endBy int
+
+const (
+	watchRefused endBy = iota // an answer 503
+	watchReset
+	watchSilent // nothing, until its caller gives it up
+)
+
+// meet ends one call so.
+func (e *watchEnd) meet(w http.ResponseWriter, r *http.Request) {
+	switch e.by {
+	case watchRefused:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case watchReset:
+		resetCall(w)
+	case watchSilent:
+		<-r.Context().Done()
+	}
 }
 
 func newWatchEnd() *watchEnd { return &watchEnd{done: make(chan struct{})} }
 
+// Renumber has the service count its versions from 1 on, as one that was started anew does, and resets the watches that are open.
+func (d *Discovery) Renumber() {
+	d.mu.Lock()
+	d.behind = max(d.seq-1, 0)
+	d.mu.Unlock()
+	d.ResetWatches()
+}
+
+// SilenceWatches has the watches that are open say nothing more.
+func (d *Discovery) SilenceWatches() { d.endWatches(watchSilent) }
+
 // EndWatches ends the watches that are open, as when the service goes down.
-func (d *Discovery) EndWatches() { d.endWatches(false) }
+func (d *Discovery) EndWatches() { d.endWatches(watchRefused) }
 
 // ResetWatches resets the connections of the watches that are open; the service goes on.
-func (d *Discovery) ResetWatches() { d.endWatches(true) }
+func (d *Discovery) ResetWatches() { d.endWatches(watchReset) }
 
-func (d *Discovery) endWatches(reset bool) {
+func (d *Discovery) endWatches(by endBy) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clear(d.answered)
-	d.watches.reset = reset
+	d.watches.by = by
 	close(d.watches.done)
 	d.watches = newWatchEnd()
 }
@@ -326,7 +358,7 @@
 	d.mu.Unlock()
 	for {
 		d.mu.Lock()
-		newer, news := d.seq > from, d.news
+		newer, news := d.seq-d.behind > from, d.news
 		d.mu.Unlock()
 		if newer {
 			return nil
