--- a/internal/rig/soak/unconfirmed_test.go
+++ b/internal/rig/soak/unconfirmed_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +10,9 @@
 	"brasswell/internal/standin"
 )
 
+// tableSeeds is how many seeds each kind of calls is played with.
+var tableSeeds = flag.Uint64("table-seeds", 1, "how many seeds each kind of calls is played with behind reset watches")
+
 const (
 	// answered is when each process has had its first answer, 2.5 s after its start.
 	answered = 2900 * time.Millisecond
@@ -38,12 +42,14 @@
 		"hung or turned away":       {Hung: 0.4, TurnedAway: 0.4, Stall: longestCall, Line: linePatience},
 		"most are turned away late": {TurnedAway: 0.85, Line: linePatience},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			p := drainsAt(1, 24*time.Second, mix, 4500*time.Millisecond, 8*time.Second, 13*time.Second)
-			p.Events = append(p.Events, soak.Event{At: answered, Do: soak.ResetWatches})
-			play(t, p)
-		})
+		for seed := uint64(1); seed <= *tableSeeds; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				p := drainsAt(seed, 24*time.Second, mix, 4500*time.Millisecond, 8*time.Second, 13*time.Second)
+				p.Events = append(p.Events, soak.Event{At: answered, Do: soak.ResetWatches})
+				play(t, p)
+			})
+		}
 	}
 }
 
