Discovery: asking whether the list may be acted on allocates nothing

Fresh is asked for each request and each attempt, while the instance is locked. It counted the failed calls into a new map each time, for a line that is written only where the standing changes: 2 allocations a call with all ends seen. The line's fields are made where it is written. TestFreshCostsNothing fails before (2 allocations) and passes.

--- a/internal/discovery/freshness_test.go
+++ b/internal/discovery/freshness_test.go
@@ -139,3 +139,14 @@
 		}
 	})
 }
+
+// TestFreshCostsNothing: it is asked for each request while the instance is locked.
+func TestFreshCostsNothing(t *testing.T) {
+	d := New("discovery:1", nil, DefaultOptions(), slog.New(slog.DiscardHandler), nil)
+	for _, end := range plan.CallEnds() {
+		d.noteEnd(end)
+	}
+	if n := testing.AllocsPerRun(100, func() { d.Fresh() }); n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
--- a/internal/discovery/standing.go
+++ b/internal/discovery/standing.go
@@ -5,16 +5,15 @@
 	"brasswell/internal/figures"
 )
 
-// Fresh says whether requests may be sent by the list that is held.
+// Fresh says whether requests may be sent by the list that is held. It is asked for each request, and more than once.
 func (d *Client) Fresh() bool {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := d.now()
-	standing, before := d.plan.Standing(now), d.stood
-	d.stood = standing
-	age, calls := now-d.answered, d.failedCalls()
-	d.mu.Unlock()
-	if standing != before {
-		d.logStanding(before, standing, age, calls)
+	standing := d.plan.Standing(now)
+	if standing != d.stood {
+		d.logStanding(standing, now)
+		d.stood = standing
 	}
 	return standing != plan.Stale
 }
