--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -54,31 +54,32 @@
 	return fmt.Sprintf("%s?from=%d&hold_ms=%d", url, c.From, c.Hold.Milliseconds())
 }
 
-// call makes one call, and tells of what it meets on the way.
-func (d *Client) call(ctx context.Context, c plan.Call) (*Catalog, error) {
+// call makes one call, tells of what it meets on the way, and says how it ended.
+func (d *Client) call(ctx context.Context, c plan.Call) (list *Catalog, end plan.CallEnd, err error) {
 	begun, url := time.Now(), urlOf(c)
+	list, err = d.fetch(ctx, c, url)
+	end = endOf(err, context.Cause(ctx))
+	d.noteEnd(end)
+	d.logCall(ctx, end, url, begun, err)
+	return list, end, err
+}
+
+// fetch fetches a list.
+func (d *Client) fetch(ctx context.Context, c plan.Call, url string) (*Catalog, error) {
+	coming := func() { d.noteProgress(c.ID) }
+	var begun atomic.Pointer[time.Time] // the answer; Do may return before the trace's call does
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if !info.Reused {
 				d.noteConnected(c.GoesOn)
 			}
 		},
-		GotFirstResponseByte: d.noteAnswerBegun,
+		GotFirstResponseByte: func() {
+			now := time.Now()
+			begun.Store(&now)
+			d.noteAnswerBegun()
+		},
 	})
-	list, err := d.fetch(ctx, url, func() { d.noteProgress(c.ID) })
-	end := endOf(err, context.Cause(ctx))
-	d.noteEnd(end)
-	d.logCall(ctx, end, url, begun, err)
-	return list, err
-}
-
-// fetch fetches a list. coming is called as the answer begins and goes on, but for a refusal.
-func (d *Client) fetch(ctx context.Context, url string, coming func()) (*Catalog, error) {
-	var begun atomic.Pointer[time.Time] // the answer; Do may return before the trace's call does
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		now := time.Now()
-		begun.Store(&now)
-	}})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -103,12 +104,12 @@
 	case len(text) > maxList:
 		return nil, fmt.Errorf("discovery's answer is over %d bytes", maxList)
 	}
-	c, err := ReadCatalog(text)
+	list, err := ReadCatalog(text)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errCutOff, err)
 	}
-	c.begun = *begun.Load()
-	return c, nil
+	list.begun = *begun.Load()
+	return list, nil
 }
 
 // progressReader tells of each part that has come.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,11 +29,10 @@
 	started time.Time
 	kick    chan struct{} // holds one where the plan has changed, and the watch has to look
 
-	mu       sync.Mutex
-	plan     *plan.Follower
-	answered time.Duration          // when discovery last gave a whole answer; the start of the process until then
-	calls    map[plan.CallEnd]int64 // that have ended so
-	stood    plan.Standing          // what Fresh has found last
+	mu    sync.Mutex
+	plan  *plan.Follower
+	calls map[plan.CallEnd]int64 // that have ended so
+	stood plan.Standing          // what Fresh has found last
 }
 
 // New returns a client that makes no call yet. update is called from one goroutine at a time.
@@ -75,7 +74,7 @@
 func (d *Client) Age() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.now() - d.answered
+	return d.plan.Age(d.now())
 }
 
 // Seq is the version of the list that is held; -1 for none.
--- a/internal/discovery/plan/follower.go
+++ b/internal/discovery/plan/follower.go
@@ -123,9 +123,8 @@
 	f.watching, f.question, f.pause, f.goesOn, f.actions = false, nil, pause{}, false, nil
 }
 
-// Progress takes in a part of an answer to a call.
+// Progress takes in a part of an answer to a call, behind AnswerBegun.
 func (f *Follower) Progress(id CallID, now time.Duration) {
-	f.AnswerBegun()
 	if q := f.question; q != nil && id == q.newest {
 		// Discovery has come to this call, which has no place in line to lose: the rest comes soon, or never.
 		q.late = now + stallTime
--- a/internal/discovery/plan/lease.go
+++ b/internal/discovery/plan/lease.go
@@ -143,6 +143,9 @@
 	return Stale
 }
 
+// Age is for how long discovery has given no whole answer, or since the start.
+func (l *Lease) Age(now time.Duration) time.Duration { return now - l.answered }
+
 // never is later than any time.
 const never = time.Duration(1<<63 - 1)
 
--- a/internal/discovery/plan/question.go
+++ b/internal/discovery/plan/question.go
@@ -104,10 +104,9 @@
 	if f.question == nil {
 		return
 	}
-	for id := f.question.newest; id > 0 && len(f.question.out) > 0; id-- {
+	for _, id := range []CallID{f.question.newest, f.question.older} { // no others are out
 		if f.question.out[id] {
 			f.act(GiveUp{id, end})
-			delete(f.question.out, id)
 		}
 	}
 	f.question = nil
--- a/internal/discovery/standing.go
+++ b/internal/discovery/standing.go
@@ -35,7 +35,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	standing := d.plan.Standing(now)
-	text = figures.AppendLine(text, "list_age_ms", (now - d.answered).Milliseconds(), 'g')
+	text = figures.AppendLine(text, "list_age_ms", d.plan.Age(now).Milliseconds(), 'g')
 	text = figures.AppendLine(text, "list_stale", oneIf(standing == plan.Stale), 'g')
 	text = figures.AppendLine(text, "list_unconfirmed", oneIf(standing == plan.Unconfirmed), 'g')
 	for _, end := range plan.CallEnds() {
--- a/internal/discovery/trace.go
+++ b/internal/discovery/trace.go
@@ -57,7 +57,7 @@
 
 // logStanding writes the line of a change in how far the list can be relied on, with the calls that have failed since the start; mu is held.
 func (d *Client) logStanding(standing plan.Standing, now time.Duration) {
-	fields := []any{"before", d.stood, "now", standing, "age_ms", (now - d.answered).Milliseconds(), "seq", d.plan.Version(), "failed_calls", d.failedCalls()}
+	fields := []any{"before", d.stood, "now", standing, "age_ms", d.plan.Age(now).Milliseconds(), "seq", d.plan.Version(), "failed_calls", d.failedCalls()}
 	switch standing {
 	case plan.Stale:
 		d.log.Warn("the server list may be out of date: discovery may be there, and gives no whole answer; nothing is sent until it does", fields...)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -113,11 +113,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	begun := r.list.begun.Sub(w.started)
-	if use {
-		w.answered = begun
-	}
-	w.plan.Taken(use, begun, w.now())
+	w.plan.Taken(use, r.list.begun.Sub(w.started), w.now())
 }
 
 // carryOut carries out what the plan has decided.
@@ -147,16 +143,16 @@
 	if c.Beside {
 		w.log.Info("a call for the server list is overdue; another is made beside it")
 	}
-	ctx, end := context.WithCancelCause(w.ctx)
+	ctx, cancel := context.WithCancelCause(w.ctx)
 	timed, stop := context.WithTimeout(ctx, c.Wait)
-	w.calls[c.ID] = end
+	w.calls[c.ID] = cancel
 	begun := w.now()
 	w.running.Go(func() {
-		defer end(nil)
+		defer cancel(nil)
 		defer stop()
-		list, err := w.call(timed, c)
+		list, end, err := w.call(timed, c)
 		select {
-		case w.results <- result{id: c.ID, begun: begun, list: list, end: endOf(err, context.Cause(timed)), err: err}:
+		case w.results <- result{id: c.ID, begun: begun, list: list, end: end, err: err}:
 		case <-ctx.Done(): // given up
 		case <-w.over:
 		}
