Soak: the plays of both incidents are built by one function

movesBeforeDrains built the plan that drainsAt builds, with a copy of the time by which processes have been answered, and its comment still said that a process without an answer takes waits for an outage, which is mended. The events are the same. TestMovesInARow, TestDrainBehindMoves and TestDrainBehindResetWatches pass (go test -race -parallel 8, 62 s).

--- a/internal/rig/soak/soak_test.go
+++ b/internal/rig/soak/soak_test.go
@@ -67,14 +67,10 @@
 // movesBeforeDrains is the incident's course: discovery comes back from an outage, new configurations follow each other at every process,
 // and backends drain behind them, on machines whose wall clocks are stepped. mix is what calls meet.
 func movesBeforeDrains(seed uint64, mix soak.Mix) soak.Plan {
-	const processes = 4
-	p := soak.Plan{Seed: seed, Processes: processes, Backends: 6, Length: 24 * time.Second, Ask: true, Rate: 40, Descriptors: 512}
-	// Each process has had its first answer by then, 2.5 s after its start. One that never had any takes waits in line for an outage.
-	const answered = 2900 * time.Millisecond
-	p.Events = append(p.Events, soak.Event{At: answered, Do: soak.SpoilCalls, Mix: mix, For: p.Length})
+	p := drainsAt(seed, 24*time.Second, mix, drainTimes()...)
 	at := answered + 100*time.Millisecond
 	for range 4 {
-		for process := range processes {
+		for process := range p.Processes {
 			p.Events = append(p.Events, soak.Event{At: at + time.Duration(process)*300*time.Millisecond, Do: soak.Reload, Process: process})
 		}
 		at += 400 * time.Millisecond
@@ -82,9 +78,6 @@
 	for n, offset := range []time.Duration{time.Hour, -5 * time.Second, -time.Hour, 5 * time.Second} {
 		p.Events = append(p.Events, soak.Event{At: 3500*time.Millisecond + time.Duration(n)*time.Second, Do: soak.StepClock, Process: n, By: offset})
 	}
-	for backend, drained := range []time.Duration{4500 * time.Millisecond, 8 * time.Second, 13 * time.Second} {
-		p.Events = append(p.Events, soak.Event{At: drained, Do: soak.DrainBackend, Backend: backend})
-	}
 	return p
 }
 
--- a/internal/rig/soak/unconfirmed_test.go
+++ b/internal/rig/soak/unconfirmed_test.go
@@ -21,6 +21,11 @@
 	linePatience = 2 * time.Second
 )
 
+// drainTimes are when backends drain, where nothing else says it.
+func drainTimes() []time.Duration {
+	return []time.Duration{4500 * time.Millisecond, 8 * time.Second, 13 * time.Second}
+}
+
 // drainsAt is a plan in which all calls to discovery meet mix from the first answers on, and one backend after another drains.
 func drainsAt(seed uint64, length time.Duration, mix soak.Mix, drains ...time.Duration) soak.Plan {
 	p := soak.Plan{Seed: seed, Processes: 4, Backends: 6, Length: length, Ask: true, Rate: 40, Descriptors: 512}
@@ -46,7 +51,7 @@
 		for seed := uint64(1); seed <= *tableSeeds; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				p := drainsAt(seed, 30*time.Second, mix, 4500*time.Millisecond, 8*time.Second, 13*time.Second)
+				p := drainsAt(seed, 30*time.Second, mix, drainTimes()...)
 				p.Events[0].For = calm - answered
 				p.Events = append(p.Events, soak.Event{At: answered, Do: soak.ResetWatches})
 				play(t, p)
@@ -82,7 +87,7 @@
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			p := drainsAt(seed, 24*time.Second, soak.Mix{TurnedAway: 0.9, Line: linePatience}, 4500*time.Millisecond, 8*time.Second, 13*time.Second)
+			p := drainsAt(seed, 24*time.Second, soak.Mix{TurnedAway: 0.9, Line: linePatience}, drainTimes()...)
 			p.FirstLists = true
 			for process := range p.Processes {
 				p.Events = append(p.Events, soak.Event{At: killed, Do: soak.Kill, Process: process})
