Review: a server's small receive buffer is part of the cases' kit

Need: case 1 and a look that is not a case listen in the same way, and the kit had calls that nothing used.

Change: ListenSmall moves into the kit; the proxy's Signal goes; a pause of discovery is set by a call alone.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"brasswell/review/kit"
@@ -126,19 +125,6 @@
 	return err == nil && n%resetEach == 0
 }
 
-func listen() (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	raw, err := l.(*net.TCPListener).SyscallConn()
-	if err != nil {
-		return nil, err
-	}
-	raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) })
-	return l, nil
-}
-
 func play(root, folder string) (int, error) {
 	record, err := kit.NewRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
@@ -153,7 +139,7 @@
 	z := &zone{record: record, runs: map[string][]run{}, since: map[string]time.Duration{}, reset: map[string]bool{}}
 	var hosts []kit.Host
 	for i := range servers {
-		l, err := listen()
+		l, err := kit.ListenSmall(16 << 10)
 		if err != nil {
 			return kit.NotRun, err
 		}
--- a/review/kit/discovery.go
+++ b/review/kit/discovery.go
@@ -40,9 +40,9 @@
 	changed map[string]int // version of the last change, by host
 	waiting chan struct{}  // closed at each change
 
-	// Pause, if above 0, is a pause within the body of the next answer that is written, which OnPause is told of.
-	Pause   time.Duration
-	OnPause func()
+	// pause, if above 0, is a pause within the body of the next answer that is written, which onPause is told of.
+	pause   time.Duration
+	onPause func()
 }
 
 // NewDiscovery starts a discovery with a first list, on a free port.
@@ -66,11 +66,11 @@
 	return List{d.seq, true, d.hosts}
 }
 
-// SetPause makes the next answer come in two pieces.
+// SetPause makes the next answer come in two pieces, with a pause between them, and calls onPause after the first.
 func (d *Discovery) SetPause(pause time.Duration, onPause func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.Pause, d.OnPause = pause, onPause
+	d.pause, d.onPause = pause, onPause
 }
 
 // ServeHTTP answers a call.
@@ -115,8 +115,8 @@
 		panic(err)
 	}
 	d.mu.Lock()
-	pause, onPause := d.Pause, d.OnPause
-	d.Pause, d.OnPause = 0, nil
+	pause, onPause := d.pause, d.onPause
+	d.pause, d.onPause = 0, nil
 	d.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
--- a/review/kit/proxy.go
+++ b/review/kit/proxy.go
@@ -124,9 +124,6 @@
 	return nil, errors.New("the proxy was not ready within 30 s")
 }
 
-// Signal sends the proxy's process a signal.
-func (p *Proxy) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
-
 // Ended reports whether the proxy has ended by itself.
 func (p *Proxy) Ended() bool {
 	select {
