--- a/review/kit/proxy.go
+++ b/review/kit/proxy.go
@@ -42,8 +42,8 @@
 	return l.Addr().String(), nil
 }
 
-// runCommand returns the deploy file's run command. root is the repository's root.
-func runCommand(root string) (string, error) {
+// RunCommand returns the deploy file's run command. root is the repository's root.
+func RunCommand(root string) (string, error) {
 	text, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
 	if err != nil {
 		return "", err
@@ -55,25 +55,14 @@
 	return string(m[1]), nil
 }
 
-// StartProxy starts one proxy and waits until its health check says 200. dir is a folder for its files.
-func StartProxy(root, dir string, d *Discovery, classes []Class) (*Proxy, error) {
-	run, err := runCommand(root)
-	if err != nil {
-		return nil, err
-	}
-	p := &Proxy{ended: make(chan error, 1)}
-	if p.Listen, err = FreePort(); err != nil {
-		return nil, err
-	}
-	if p.Console, err = FreePort(); err != nil {
-		return nil, err
-	}
-	config := map[string]any{
-		"name": "n1", "listen": p.Listen, "discovery": d.Addr(), "console": p.Console, "seed": "8c1f30d27a5be964",
+// Config is the platform's file of one proxy of a small deployment.
+func Config(name, listen, console string, d *Discovery, instances, me int, classes []Class) map[string]any {
+	return map[string]any{
+		"name": name, "listen": listen, "discovery": d.Addr(), "console": console, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 1024},
 		"known":  d.Known(),
 		"settings": map[string]any{
-			"instances": 1, "me": 0, "layer": 0, "discovery": "push", "zones": []string{"a", "b"}, "zone": 0, "kinds": []string{"m"}, "tiers": []string{"front"},
+			"instances": instances, "me": me, "layer": 0, "discovery": "push", "zones": []string{"a", "b"}, "zone": 0, "kinds": []string{"m"}, "tiers": []string{"front"},
 			"request_classes": classes,
 			"limits": map[string]any{
 				"max_attempts": 5, "connect_timeout_ms": 300, "conn_idle_ms": 10000, "cancel": true, "retry_after": true,
@@ -84,6 +73,22 @@
 			},
 		},
 	}
+}
+
+// StartProxy starts one proxy and waits until its health check says 200. dir is a folder for its files.
+func StartProxy(root, dir string, d *Discovery, classes []Class) (*Proxy, error) {
+	run, err := RunCommand(root)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{ended: make(chan error, 1)}
+	if p.Listen, err = FreePort(); err != nil {
+		return nil, err
+	}
+	if p.Console, err = FreePort(); err != nil {
+		return nil, err
+	}
+	config := Config("n1", p.Listen, p.Console, d, 1, 0, classes)
 	text, err := json.MarshalIndent(config, "", " ")
 	if err != nil {
 		return nil, err
