--- a/review/1/main.go
+++ b/review/1/main.go
@@ -180,6 +180,7 @@
 				for name, value := range map[string]string{"X-Txn": id, "X-Lane": "record-add", "X-Remaining-Ms": fmt.Sprint(giveUp.Milliseconds()), "Idempotency-Key": key} {
 					req.Header.Set(name, value)
 				}
+				record.Linef("client: sends request %s, %d bytes", key, bodyBytes)
 				status := 0
 				resp, err := http.DefaultClient.Do(req)
 				if err == nil {
