Check at a request's last byte what was checked before its first

Cause: window, group, caller and deadline were asked for before a request's first byte (and, for bodies of 64 KiB and less, before the last write call). The backend begins a request when its last byte has come, which a server that reads slowly puts off by seconds.

Ruled out: the choice of the second server (decided within window and group), and the date of the first attempt (earlier than the server's).

Change: the last byte of a request of several writes is held back until the kernel has sent all others (SIOCOUTQNSD); then the attempt is asked again (Attempt.Complete). A repeat is ended when its window ends, unless the server's machine has all of it. A connection that is closed over bytes that were not acknowledged is reset, which drops them. The time that servers needed to take the request is not announced to the next one, and a head that tells more than remains at the last byte is sent anew. A drain or a ban while a stream is being written changes nothing, as a send counts from its first byte there.

Not changed: a first attempt whose body still arrives is told the whole time, since its time has not begun.

--- a/balance/retry.go
+++ b/balance/retry.go
@@ -56,6 +56,28 @@
 	return s.usable() && q.effectAllows(now, firstRun(q.attempts[:attempt]), s)
 }
 
+// MayComplete reports whether the last byte of an attempt that is being written may still be sent. A server
+// that drains or was taken out finishes what it has begun to receive.
+func (b *Balancer) MayComplete(now time.Duration, id string, attempt int) bool {
+	q := b.requests[id]
+	return q != nil && !q.finished && attempt >= 0 && attempt < len(q.attempts) &&
+		q.effectAllows(now, firstRun(q.attempts[:attempt]), q.attempts[attempt].server)
+}
+
+// RepeatDeadline returns when the servers that drop the repeat forget the first attempt of its request. The
+// last byte of the repeat must have reached its server by then. ok is false if there is no such time.
+func (b *Balancer) RepeatDeadline(id string, attempt int) (deadline time.Duration, ok bool) {
+	q := b.requests[id]
+	if q == nil || attempt < 0 || attempt >= len(q.attempts) || q.class.Effect != Deduplicated {
+		return 0, false
+	}
+	first := firstRun(q.attempts[:attempt])
+	if first == nil {
+		return 0, false
+	}
+	return first.sentAt + q.class.DedupWindow, true
+}
+
 // refusable reports whether the client may be told that trying again is harmless.
 func (q *request) refusable() bool {
 	return q.mayHaveRun() == nil || q.class.Effect == Idempotent ||
--- a/internal/backends/begin_test.go
+++ b/internal/backends/begin_test.go
@@ -21,12 +21,16 @@
 	calls atomic.Int32
 }
 
-func (a *scriptedAttempt) Begin() (time.Duration, bool) {
+func (a *scriptedAttempt) Begin() Permit {
 	n := int(a.calls.Add(1)) - 1
 	left := a.left[min(n, len(a.left)-1)]
-	return left, left > 0
+	return Permit{Wanted: left > 0, Remaining: left, Announce: left}
 }
 
+func (a *scriptedAttempt) Complete() Permit { return a.Begin() }
+
+func (a *scriptedAttempt) Written(time.Duration) {}
+
 func (a *scriptedAttempt) Started(*Reply) bool { return false }
 
 // stallFirstWrite returns a context that delays the write of its first request after the attempt has been asked.
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -26,11 +26,13 @@
 	cc       *http.ClientConn
 	framing  framing.Tracker // of the responses; used by the reading goroutine, and by others once that has finished
 
-	lastWrite      atomic.Bool // the next write may contain the request's last byte
-	writeBegun     atomic.Bool // a write of this attempt has started
-	lastWriteBegun atomic.Bool // the write with the request's last byte has started
-	class          int         // the request's class
-	fullyWritten   bool        // that write has succeeded and was reported; used by the writing goroutine
+	lastWrite      atomic.Bool   // the next write contains the request's last byte
+	writeBegun     atomic.Bool   // a write of this attempt has started
+	released       atomic.Bool   // the attempt has ended, and no response is outstanding
+	lastWriteBegun atomic.Bool   // the write with the request's last byte has started
+	class          int           // the request's class
+	fullyWritten   bool          // that write has succeeded and was reported; used by the writing goroutine
+	writeWait      time.Duration // how long the writes took; used by the writing goroutine
 	// permit is the attempt's permission to write its request. It is used by the writing goroutine, once the request is
 	// handed over to it.
 	permit     writePermit
@@ -46,11 +48,12 @@
 	answerRead     bool // the response has been read; the connection is parked when the next Read begins
 	parked         bool
 	parkedAt       time.Time
-	idleTimer      *time.Timer // closes the connection when it has been idle for too long
-	idleTimerSet   bool        // idleTimer is running
-	answerTimer    *time.Timer // closes the connection if a response has begun and stalls
-	answerTimerSet bool        // answerTimer is running
-	answerDeadline time.Time   // when the response's next byte is due; zero if no response has begun
+	idleTimer      *time.Timer    // closes the connection when it has been idle for too long
+	idleTimerSet   bool           // idleTimer is running
+	answerTimer    *time.Timer    // closes the connection if a response has begun and stalls
+	answerTimerSet bool           // answerTimer is running
+	answerDeadline time.Time      // when the response's next byte is due; zero if no response has begun
+	delivery       *deliveryTimer // of the attempt; nil if there is none
 	closed         bool
 
 	linked.Links[conn] // links of the endpoint's idleList
@@ -58,13 +61,14 @@
 
 func (c *conn) roundTrip(ctx context.Context, m *Message, permit writePermit) (*http.Response, error) {
 	header := maps.Clone(m.Header)
-	setRemaining(header, permit.announced)
+	setRemaining(header, permit.announced.Announce)
 	c.permit = permit
 	c.class = m.Class
+	c.startDeliveryTimer()
 	req := &http.Request{Method: m.Method, URL: m.target(c.endpoint.Address), Host: m.Host, Header: header, Body: http.NoBody}
 	if s := m.Body.Stream(); s != nil {
 		c.startStreaming()
-		req.Body = &streamReader{conn: c, reader: s.Reader()}
+		req.Body = &streamReader{conn: c, reader: s.Reader(), length: s.Length()}
 		req.ContentLength = s.Length()
 	} else if m.Body.Size() > 0 {
 		req.Body = &bodyReader{conn: c, data: m.Body.Data()}
@@ -86,42 +90,85 @@
 	return &u
 }
 
-// mayWrite checks the permit before the first byte of a request and before its last one; after a stall, this asks the
-// attempt again. The last byte of a streamed request isn't checked: it may follow seconds after the first one, and the
-// server has the request by then.
-func (c *conn) mayWrite(last bool) error {
-	if c.writeBegun.Load() && (!last || c.streaming.Load() || c.fullyWritten) {
-		return nil
-	}
-	err := c.permit.revalidate()
-	if err != nil {
-		c.refusedErr.Store(&err)
-	}
-	return err
-}
-
-func (c *conn) Write(b []byte) (int, error) {
-	last := c.lastWrite.Load()
-	if err := c.mayWrite(last); err != nil {
-		return 0, err
+// Write checks the permit before the first byte of a request and before its last one; after a stall, this asks the
+// attempt again. Unless the whole request is one write, its last byte is held back until the kernel has sent all others.
+// In the kernel it could wait for a backend that reads slowly until it may no longer be sent.
+func (c *conn) Write(b []byte) (n int, err error) {
+	begun, last := c.writeBegun.Load(), c.lastWrite.Load() && !c.fullyWritten && len(b) > 0
+	if begun && last {
+		if n, err = c.writeSome(b[:len(b)-1]); err != nil {
+			return n, err
+		}
+		if err = c.awaitLastByte(); err != nil {
+			return n, err
+		}
+		b = b[n:]
+	} else if !begun {
+		if err = c.refuse(c.permit.revalidateBegin()); err != nil {
+			return 0, err
+		}
 	}
 	c.writeBegun.Store(true)
 	if last {
 		c.lastWriteBegun.Store(true)
 	}
+	m, err := c.writeSome(b)
+	if last && err == nil {
+		c.reportWritten()
+	}
+	return n + m, err
+}
+
+// writeSome writes to the socket and measures how long this takes.
+func (c *conn) writeSome(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	begun := time.Now()
 	if c.streaming.Load() {
-		c.Conn.SetWriteDeadline(time.Now().Add(c.streamIdleTimeout))
+		c.Conn.SetWriteDeadline(begun.Add(c.streamIdleTimeout))
 	}
 	n, err := c.Conn.Write(b)
-	if last && err == nil && !c.fullyWritten {
-		c.fullyWritten = true
-		if onWritten := c.pool.onWritten; onWritten != nil {
-			onWritten(c.class)
-		}
-	}
+	c.writeWait += time.Since(begun)
 	return n, err
 }
 
+// awaitLastByte waits until a request's last byte can be sent without delay, and checks the permit.
+func (c *conn) awaitLastByte() error {
+	begun := time.Now()
+	streaming := c.streaming.Load()
+	idleTimeout := time.Duration(0)
+	if streaming {
+		idleTimeout = c.streamIdleTimeout
+	}
+	err := c.awaitSent(idleTimeout)
+	c.writeWait += time.Since(begun)
+	if err != nil {
+		return err
+	}
+	c.permit.attempt.Written(c.writeWait)
+	if streaming {
+		return c.refuse(c.permit.revalidateComplete())
+	}
+	return c.refuse(c.permit.revalidateBegin())
+}
+
+// refuse records why a request was not written, or not completely.
+func (c *conn) refuse(reason error) error {
+	if reason != nil {
+		c.refusedErr.Store(&reason)
+	}
+	return reason
+}
+
+// reportWritten reports that the request is written completely.
+func (c *conn) reportWritten() {
+	c.fullyWritten = true
+	if onWritten := c.pool.onWritten; onWritten != nil {
+		onWritten(c.class)
+	}
+}
+
 // Read parks the connection once its response has been read and nothing more is buffered. If it were reused earlier,
 // unsolicited bytes could be mistaken for the response to the next request. Bytes that arrive before this attempt has
 // written anything cause an error, which closes the connection.
@@ -232,11 +279,13 @@
 		c.pool.open--
 		c.answerTimer.Stop()
 		c.idleTimer.Stop()
+		c.stopDeliveryTimer()
 		if c.parked {
 			c.pool.unpark(c)
 		}
 	}
 	c.pool.mu.Unlock()
+	c.abortUnsent()
 	return c.Conn.Close()
 }
 
@@ -244,9 +293,11 @@
 func (c *conn) reset() {
 	c.framing = framing.Tracker{}
 	c.writeBegun.Store(false)
+	c.released.Store(false)
 	c.lastWrite.Store(false)
 	c.lastWriteBegun.Store(false)
 	c.fullyWritten = false
+	c.writeWait = 0
 	c.refusedErr.Store(nil)
 	if c.streaming.Swap(false) {
 		c.streamingAnswer.Store(false)
@@ -280,14 +331,19 @@
 
 func (r *bodyReader) Close() error { return nil }
 
-// streamReader reads a streamed body for one attempt, and sets conn.lastWrite when it returns the last byte.
+// streamReader reads a streamed body for one attempt, and sets conn.lastWrite when it returns the last byte. A body of
+// unknown length is sent in chunks: what is written after its end is the terminating chunk.
 type streamReader struct {
 	conn   *conn
 	reader *body.Reader
+	length int64 // as announced; -1 if unknown
 }
 
 func (r *streamReader) Read(p []byte) (int, error) {
 	n, last, err := r.reader.Read(p)
+	if r.length < 0 {
+		last = err == io.EOF
+	}
 	if last {
 		r.conn.lastWrite.Store(true)
 	}
--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -65,9 +65,13 @@
 // Attempt receives the callbacks of one attempt. Unless noted otherwise, they are called by the goroutine that runs
 // Exchange.
 type Attempt interface {
-	// Begin is called right before the request is written. It returns how long the proxy will wait for the response
-	// and whether the attempt is still wanted. After a stall before the write, the writing goroutine calls it again.
-	Begin() (time.Duration, bool)
+	// Begin is called right before the request is written. After a stall before the write, the writing goroutine calls
+	// it again.
+	Begin() Permit
+	// Complete is called by the writing goroutine right before the last byte of a streamed request is written.
+	Complete() Permit
+	// Written is called with the time that an attempt has waited for the backend to take its request.
+	Written(wait time.Duration)
 	// Started is called with a response that is to be streamed, and reports whether the caller takes it.
 	Started(*Reply) bool
 }
@@ -98,7 +102,7 @@
 			return p.receive(ctx, c, resp, a)
 		}
 		c.discard()
-		if refusal := c.refusedErr.Load(); refusal != nil {
+		if refusal := c.refusedErr.Load(); refusal != nil && !c.lastWriteBegun.Load() {
 			// The request was not written completely.
 			if *refusal == errUnwanted {
 				return balance.Ignored, nil
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -141,7 +141,9 @@
 		c.discard()
 		return
 	}
+	c.released.Store(true)
 	p.mu.Lock()
+	c.stopDeliveryTimer()
 	unwanted := p.closed || !p.wanted[c.endpoint]
 	if c.inRead && !unwanted {
 		p.park(c)
--- a/internal/backends/upgrade.go
+++ b/internal/backends/upgrade.go
@@ -35,13 +35,13 @@
 	if err != nil {
 		return p.connectFailed(ctx, to, err), nil
 	}
-	left, wanted := a.Begin()
-	if !wanted {
+	permit := a.Begin()
+	if !permit.Wanted {
 		nc.Close()
 		return balance.Ignored, nil
 	}
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
-	outcome, c, err := p.performHandshake(nc, m, left)
+	outcome, c, err := p.performHandshake(nc, m, permit.Announce)
 	if !stop() || err != nil || c == nil {
 		nc.Close()
 		if ctx.Err() != nil {
--- a/internal/host/attempt.go
+++ b/internal/host/attempt.go
@@ -64,10 +64,10 @@
 // stalled.
 const stallThreshold = 100 * time.Millisecond
 
-// Begin returns the time that remains for an attempt that is about to be written, and whether it may still be sent. All
+// Begin returns whether an attempt that is about to be written may still be sent, and the time that remains for it. All
 // updates of the server list that have arrived are applied first. If that took longer than stallThreshold, the process
 // may have been stalled and more updates may have arrived, so they are applied and the check is made again.
-func (a *attempt) Begin() (remaining time.Duration, maySend bool) {
+func (a *attempt) Begin() backends.Permit {
 	i := a.instance
 	if i.serverList == nil {
 		return a.checkSend()
@@ -75,24 +75,59 @@
 	for {
 		checkStart := i.now()
 		i.serverList.CatchUp(a.ctx)
-		remaining, maySend = a.checkSend()
-		if !maySend || i.now()-checkStart < stallThreshold {
-			return remaining, maySend
+		permit := a.checkSend()
+		if !permit.Wanted || i.now()-checkStart < stallThreshold {
+			return permit
 		}
 	}
 }
 
-// checkSend makes the checks of Begin by what has been applied so far.
-func (a *attempt) checkSend() (time.Duration, bool) {
+// Complete returns whether the last byte of an attempt whose other bytes are written may still be sent. Its server is not
+// checked: a drain or a ban forbids only what is new to a server, and a send counts from its first byte.
+func (a *attempt) Complete() backends.Permit {
 	i := a.instance
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
-	remaining := a.deadline - now
-	if a.request.receiving {
-		remaining = a.deadline - a.sent
+	p := a.permit(now)
+	p.Wanted = !i.closed && !a.request.answered && a.ctx.Err() == nil && p.Remaining > 0 &&
+		i.balancer.MayComplete(now, a.request.id, a.number) && i.callerWaiting(a.request)
+	return p
+}
+
+// maxWriteShare is the share of a request's remaining time that may be set aside for writing the request.
+const maxWriteShare = 0.5
+
+// permit returns the times of an attempt's permit; mu is held. The time that servers needed to take the request before
+// is not announced to the next server: its time starts with the last byte.
+func (a *attempt) permit(now time.Duration) backends.Permit {
+	p := backends.Permit{Remaining: a.deadline - now, Receiving: a.request.receiving}
+	if p.Receiving {
+		p.Remaining = a.deadline - a.sent
+	}
+	p.Announce = p.Remaining - min(a.request.writeWait, time.Duration(maxWriteShare*float64(p.Remaining)))
+	if deadline, ok := a.instance.balancer.RepeatDeadline(a.request.id, a.number); ok {
+		p.Limited, p.CompleteWithin = true, deadline-now
 	}
-	wanted := i.maySend(a, now) && remaining > 0 && i.callerWaiting(a.request)
+	return p
+}
+
+// Written records how long a server took to take the request.
+func (a *attempt) Written(wait time.Duration) {
+	i := a.instance
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	a.request.writeWait = max(a.request.writeWait, wait)
+}
+
+// checkSend makes the checks of Begin by what has been applied so far.
+func (a *attempt) checkSend() backends.Permit {
+	i := a.instance
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.now()
+	p := a.permit(now)
+	wanted := i.maySend(a, now) && p.Remaining > 0 && i.callerWaiting(a.request)
 	if wanted && a.request.message.Offer != nil {
 		wanted = i.channels.AllowUpgrade(a.to.Server)
 	}
@@ -103,8 +138,8 @@
 	if wanted && i.agreedRules != nil {
 		wanted = i.allowedByRules(a)
 	}
-	a.dispatched = wanted
-	return remaining, wanted
+	a.dispatched, p.Wanted = wanted, wanted
+	return p
 }
 
 // callerWaiting reports whether a request's caller still waits, and drops the request if not; mu is held. The end of
--- a/internal/host/crossing_test.go
+++ b/internal/host/crossing_test.go
@@ -44,7 +44,11 @@
 				defer c.Close()
 				r := bufio.NewReader(c)
 				for {
-					if _, err := http.ReadRequest(r); err != nil {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, request.Body); err != nil {
 						return
 					}
 					s.received.Add(1)
@@ -105,6 +109,11 @@
 	return c
 }
 
+// addServer adds a server to the list.
+func (c *fixture) addServer(id, address string) {
+	c.Update(balance.Delta, []balance.Entry{{ID: id}}, map[string]string{id: address})
+}
+
 func (c *fixture) close() { c.Close(); c.pool.Close() }
 
 // requestTimeout is the timeout of requests. No test may take that long.
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -33,6 +33,7 @@
 	caller      Caller // nil if the caller's connection is not tracked
 	attempts    []*attempt
 	outstanding int
+	writeWait   time.Duration // the longest time in which a server has taken the request
 	answered    bool
 	receiving   bool       // its body is still arriving
 	final       chan Final // receives exactly one value and has room for it
