Count a streamed request's time from the arrival of its last byte

What callers saw: a client that sends 140 KiB before a server that reads nothing for 1 s gets its answer 3.0 s after its last byte, where it waits for 2 s.

Cause: the time of a streamed request began when its last byte was read.

Ruled out: the client's own buffers. With 160 KiB and more they hold the rest, the proxy cannot know of it, and the time counts as before.

Change: Received takes off the time since the caller's last bytes, which the kernel knows (Conn.SinceLastData, as for requests that are read whole). The server's own time still begins now.

Measured: TestDeadlineIncludesTimeOfABodyInSocketBuffer fails before (3.0 s, with a length and in chunks, at 130, 140 and 150 KiB; at 110 and 120 KiB the proxy had read it all) and passes since, 3 of 3 with the race detector.

Not mended: while such a server takes nothing at all, the last byte is never read, so no time begins; only stream_silence ends the attempt.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -281,15 +281,15 @@
 	b.dispatchQueued(now)
 }
 
-// BodyReceived handles the last byte of a pending body. The request's time starts now, and so does its
-// server's time, because the server could not start work earlier.
-func (b *Balancer) BodyReceived(now time.Duration, id string) {
+// BodyReceived handles the last byte of a pending body, which arrived here at the given time. The request's
+// time starts then. Its server's time starts now, because the server could not start work earlier.
+func (b *Balancer) BodyReceived(now time.Duration, id string, arrivedAt time.Duration) {
 	q := b.requests[id]
 	if q == nil || !q.BodyPending {
 		return
 	}
 	q.BodyPending = false
-	q.deadline += now - q.submittedAt
+	q.deadline += arrivedAt - q.submittedAt
 	b.scheduleFor(q, q.deadline-now, func(now time.Duration) { b.expire(now, q) })
 	for i := range q.attempts {
 		if a := &q.attempts[i]; !a.ended && !a.recorded {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -147,12 +147,20 @@
 // is subtracted from its remaining time.
 func (s *Front) submit(r *http.Request, info requestInfo, buffered *body.Body) *host.Request {
 	remaining := info.remaining
-	if c := callers.ConnOf(r); c != nil && buffered.Stream() == nil {
-		remaining -= c.SinceLastData()
+	if buffered.Stream() == nil {
+		remaining -= sinceLastData(r)
 	}
 	return s.instance.Submit(callerOf(r), newMessage(r, info.class, buffered), info.class, info.tenant, remaining, s.restart.RequestTimeCap(remaining))
 }
 
+// sinceLastData returns how long ago a request's last bytes arrived, or 0 if this is not known.
+func sinceLastData(r *http.Request) time.Duration {
+	if c := callers.ConnOf(r); c != nil {
+		return c.SinceLastData()
+	}
+	return 0
+}
+
 // callerOf returns the connection that waits for a request's answer, or nil if the server does not track its
 // connections.
 func callerOf(r *http.Request) host.Caller {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -113,7 +113,7 @@
 			filled = nil
 			if err == nil {
 				control.SetReadDeadline(time.Time{})
-				s.instance.Received(q)
+				s.instance.Received(q, sinceLastData(r))
 				continue
 			}
 			s.instance.Drop(q)
--- a/internal/host/lastbyte_test.go
+++ b/internal/host/lastbyte_test.go
@@ -110,7 +110,7 @@
 	if rest != nil {
 		c.workers.Go(func() {
 			if b.Stream().Fill(rest) == nil {
-				c.Received(q)
+				c.Received(q, 0)
 			}
 		})
 	}
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -35,6 +35,7 @@
 	outstanding int
 	writeWait   time.Duration // the longest time in which a server has taken the request
 	answered    bool
+	submittedAt time.Duration
 	receiving   bool       // its body is still arriving
 	final       chan Final // receives exactly one value and has room for it
 }
@@ -72,15 +73,17 @@
 	}
 	i.requests[q.id] = q
 	q.receiving = m.Body.Stream() != nil
-	i.balancer.Submit(i.now(), balance.Request{
+	q.submittedAt = i.now()
+	i.balancer.Submit(q.submittedAt, balance.Request{
 		ID: q.id, Class: class, Tenant: tenant, Remaining: remaining, LocalBudget: localBudget, BodyPending: q.receiving,
 	})
 	i.removeIfDone(q)
 	return q
 }
 
-// Received reports that the last byte of a request's streamed body has arrived.
-func (i *Instance) Received(q *Request) {
+// Received reports that the last byte of a request's streamed body has been read, and how long ago it arrived. It stands
+// in the socket's buffer while the attempt's server takes no more bytes.
+func (i *Instance) Received(q *Request, age time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !q.receiving || i.closed {
@@ -88,15 +91,15 @@
 	}
 	q.receiving = false
 	now := i.now()
+	arrivedAt := max(now-age, q.submittedAt)
 	for _, a := range q.attempts {
 		if a.ended {
 			continue
 		}
-		left := a.deadline - a.sent
-		a.mayStartAt, a.deadline = now, now+left
-		a.timer.Reset(left)
+		a.mayStartAt, a.deadline = now, arrivedAt+a.deadline-a.sent
+		a.timer.Reset(max(a.deadline-now, 0))
 	}
-	i.balancer.BodyReceived(now, q.id)
+	i.balancer.BodyReceived(now, q.id, arrivedAt)
 	i.removeIfDone(q)
 }
 
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -1,11 +1,15 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,3 +56,69 @@
 		})
 	}
 }
+
+// TestDeadlineIncludesTimeOfABodyInSocketBuffer guards against an answer that comes later than its caller waits: the last
+// byte of a long body stood in the socket's buffer while a server read slowly, and the time counted from its reading.
+func TestDeadlineIncludesTimeOfABodyInSocketBuffer(t *testing.T) {
+	const (
+		patience = 2 * time.Second
+		hold     = time.Second            // how long the server reads nothing
+		late     = 500 * time.Millisecond // a request that is answered later is lost
+		size     = 140 << 10              // more than the proxy reads ahead, and less than its buffers take besides
+	)
+	for _, framing := range []string{"length", "chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			g := newTestProxy(t, nil, entry("s1", newSilentReader(t, hold), "up"))
+			c := g.dial()
+			text := strings.Replace(keyed("a", "/"), "9000", strconv.FormatInt(patience.Milliseconds(), 10), 1)
+			if framing == "length" {
+				text += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, pattern(size))
+			} else {
+				text += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, pattern(size))
+			}
+			if _, err := io.WriteString(c, text); err != nil {
+				t.Fatal(err)
+			}
+			sent := time.Now()
+			if status, _ := c.answer(); status == http.StatusOK {
+				t.Error("served by a server that does not answer")
+			}
+			if took := time.Since(sent); took > patience+late {
+				t.Errorf("answered %v after the last byte, and the caller waits for %v", took, patience)
+			}
+		})
+	}
+}
+
+// newSilentReader starts a server that reads nothing for a while, then everything, and never answers. Its receive buffer
+// is small. It returns the server's address.
+func newSilentReader(t *testing.T, hold time.Duration) (address string) {
+	t.Helper()
+	const receiveBuffer = 16 << 10 // bytes
+	listen := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		control := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.Join(control, err)
+	}}
+	l, err := listen.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				time.Sleep(hold)
+				io.Copy(io.Discard, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
