End a streamed request in time whose last byte the server keeps unread

Cause: the request's time begins with its last byte, and the proxy reads ahead 64 KiB. Behind a server that takes nothing it never reads that byte, so no deadline ran; only stream_silence ended the attempt.

Change: while the stream reads nothing more, the kernel is asked each 100 ms how much stands unread (SIOCINQ). If all of an announced length has arrived, and nothing has come for as long as the caller waits, the body counts as received. The process's own clock counts, not the kernel's.

Ruled out: reading on without limit (memory), and a time for servers that take nothing (a large upload outlasts a pause of its server; only requests that have arrived whole are ended).

Open: bodies in chunks, whose end the kernel cannot tell, and what stands in the client's own buffers.

--- a/internal/body/stream.go
+++ b/internal/body/stream.go
@@ -140,6 +140,14 @@
 	}
 }
 
+// Blocked reports whether Fill reads nothing more until the reader takes bytes, and how many bytes have arrived.
+func (s *Stream) Blocked() (arrived int64, blocked bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	full := len(s.segments) > 0 && len(s.segments[len(s.segments)-1]) == segmentBytes
+	return s.filled, full && !s.complete && s.err == nil && s.filled-s.consumed >= readAheadSegments*segmentBytes
+}
+
 // CloseWithError ends the stream: Fill returns the error, and so does Read after the bytes that have arrived. Only the
 // first error is kept.
 func (s *Stream) CloseWithError(err error) {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -9,6 +9,7 @@
 
 	"brasswell/internal/backends"
 	"brasswell/internal/body"
+	"brasswell/internal/callers"
 	"brasswell/internal/figures"
 	"brasswell/internal/host"
 )
@@ -105,6 +106,8 @@
 	}()
 	var f host.Final
 	gone := r.Context().Done()
+	arrival := newArrivalWatch(buffered.Stream(), callers.ConnOf(r))
+	defer arrival.ticker.Stop()
 	for open := true; open; {
 		select {
 		case f = <-q.Final():
@@ -123,6 +126,10 @@
 				return
 			}
 			open = false
+		case <-arrival.ticker.C:
+			if age := arrival.age(time.Now()); age >= info.remaining {
+				s.instance.Received(q, age)
+			}
 		case <-gone:
 			s.instance.Drop(q)
 			gone = nil
--- a/internal/host/lastbyte_test.go
+++ b/internal/host/lastbyte_test.go
@@ -117,25 +117,33 @@
 	return q
 }
 
+// startSlowRepeat submits a request whose first attempt is sent to a server that resets it. It returns when the head of
+// the second has reached a server that reads no more than that.
+func startSlowRepeat(t *testing.T, of balance.Class, first *server, k bodyKind) (*fixture, *slowServer, *Request) {
+	t.Helper()
+	second := newSlowServer(t)
+	c := newFixture(t, of, first)
+	q := c.submitBody(t, &testCaller{}, k, requestTimeout)
+	up := await(t, "the first connection", c.dials)
+	c.addServer("b", second.address)
+	close(up)
+	close(await(t, "the second connection", c.dials))
+	await(t, "the head of the repeat", second.heads)
+	return c, second, q
+}
+
 // TestWindowEndsWhileARepeatIsWritten guards against a repeat whose last byte reaches its server after the deduplication
 // window, because the server reads slowly: its effect would be applied a second time.
 func TestWindowEndsWhileARepeatIsWritten(t *testing.T) {
 	for _, k := range bodyKinds {
 		t.Run(k.name, func(t *testing.T) {
 			defer goleak.VerifyNone(t)
-			// The fixture's first server is the first in the order of its seed.
-			first, second := newServer(t, resetConn), newSlowServer(t)
-			defer first.close()
 			const window = 2 * time.Second
-			c := newFixture(t, class(balance.Deduplicated, window), first)
+			first := newServer(t, resetConn)
+			defer first.close()
+			c, second, q := startSlowRepeat(t, class(balance.Deduplicated, window), first, k)
 			defer c.close()
 			defer second.close()
-			q := c.submitBody(t, &testCaller{}, k, requestTimeout)
-			up := await(t, "the first connection", c.dials)
-			c.addServer("b", second.address)
-			close(up)
-			close(await(t, "the second connection", c.dials))
-			await(t, "the head of the repeat", second.heads)
 			time.Sleep(window) // the first attempt was sent before, so the window has certainly ended
 			second.readBodies()
 			if await(t, "the end of the repeat", second.whole) {
@@ -224,17 +232,11 @@
 	for _, k := range bodyKinds {
 		t.Run(k.name, func(t *testing.T) {
 			defer goleak.VerifyNone(t)
-			first, second := newServer(t, resetConn), newSlowServer(t)
+			first := newServer(t, resetConn)
 			defer first.close()
-			c := newFixture(t, class(balance.Idempotent, 0), first)
+			c, second, q := startSlowRepeat(t, class(balance.Idempotent, 0), first, k)
 			defer c.close()
 			defer second.close()
-			q := c.submitBody(t, &testCaller{}, k, requestTimeout)
-			up := await(t, "the first connection", c.dials)
-			c.addServer("b", second.address)
-			close(up)
-			close(await(t, "the second connection", c.dials))
-			await(t, "the head of the repeat", second.heads)
 			time.Sleep(4 * slack) // how long the server reads nothing
 			second.readBodies()
 			close(await(t, "the third connection", c.dials))
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -62,16 +62,20 @@
 func TestDeadlineIncludesTimeOfABodyInSocketBuffer(t *testing.T) {
 	const (
 		patience = 2 * time.Second
-		hold     = time.Second            // how long the server reads nothing
+		never    = time.Hour
 		late     = 500 * time.Millisecond // a request that is answered later is lost
 		size     = 140 << 10              // more than the proxy reads ahead, and less than its buffers take besides
 	)
-	for _, framing := range []string{"length", "chunks"} {
-		t.Run(framing, func(t *testing.T) {
-			g := newTestProxy(t, nil, entry("s1", newSilentReader(t, hold), "up"))
+	for _, k := range []struct {
+		framing string
+		hold    time.Duration // how long the server reads nothing
+	}{{"length", time.Second}, {"chunks", time.Second}, {"length", never}} {
+		t.Run(fmt.Sprint(k.framing, " ", k.hold), func(t *testing.T) {
+			t.Parallel()
+			g := newTestProxy(t, nil, entry("s1", newSilentReader(t, k.hold), "up"))
 			c := g.dial()
 			text := strings.Replace(keyed("a", "/"), "9000", strconv.FormatInt(patience.Milliseconds(), 10), 1)
-			if framing == "length" {
+			if k.framing == "length" {
 				text += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, pattern(size))
 			} else {
 				text += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, pattern(size))
@@ -115,8 +119,11 @@
 			}
 			go func() {
 				defer c.Close()
-				time.Sleep(hold)
-				io.Copy(io.Discard, c)
+				select {
+				case <-time.After(hold):
+					io.Copy(io.Discard, c)
+				case <-t.Context().Done():
+				}
 			}()
 		}
 	}()
