Let a server whose answer has begun have the rest of its request

The check at the last byte took a request whose answer has begun for one that is answered. An attempt whose answer is being streamed has no deadline, and its caller waits, so it is only ended by what cancels it.

--- a/internal/host/attempt.go
+++ b/internal/host/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"brasswell/balance"
@@ -83,11 +84,15 @@
 }
 
 // Complete returns whether the last byte of an attempt whose other bytes are written may still be sent. Its server is not
-// checked: a drain or a ban forbids only what is new to a server, and a send counts from its first byte.
+// checked: a drain or a ban forbids only what is new to a server, and a send counts from its first byte. A server whose
+// answer is being streamed gets the rest of its request.
 func (a *attempt) Complete() backends.Permit {
 	i := a.instance
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if a.streaming {
+		return backends.Permit{Wanted: !i.closed && a.ctx.Err() == nil, Remaining: noDeadline}
+	}
 	now := i.now()
 	p := a.permit(now)
 	p.Wanted = !i.closed && !a.request.answered && a.ctx.Err() == nil && p.Remaining > 0 &&
@@ -95,6 +100,9 @@
 	return p
 }
 
+// noDeadline is the remaining time of an attempt that has no deadline.
+const noDeadline = time.Duration(math.MaxInt64)
+
 // maxWriteShare is the share of a request's remaining time that may be set aside for writing the request.
 const maxWriteShare = 0.5
 
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -146,6 +146,37 @@
 	}
 }
 
+// TestAnswerThatBeginsBeforeTheEndOfTheBody guards against a body that is cut off because its answer has begun: the server
+// answers each byte as it arrives.
+func TestAnswerThatBeginsBeforeTheEndOfTheBody(t *testing.T) {
+	const half = 300 << 10
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.NewResponseController(w).EnableFullDuplex()
+		for {
+			if n, _ := io.CopyN(w, r.Body, 16<<10); n == 0 {
+				return
+			}
+			http.NewResponseController(w).Flush()
+		}
+	}))
+	defer server.Close()
+	c := newTestProxy(t, nil, entry("s1", server.Listener.Addr().String(), "up")).dial()
+	text := pattern(2 * half)
+	io.WriteString(c, keyed("a", "/")+"Content-Length: "+strconv.Itoa(len(text))+"\r\n\r\n")
+	c.Write(text[:half])
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		time.Sleep(50 * time.Millisecond) // until what was asked before the head no longer counts
+		c.Write(text[half:])
+	}()
+	if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, text) {
+		t.Errorf("%d bytes of %d, %v", len(got), len(text), err)
+	}
+}
+
 // TestTruncatedAnswerIsNotComplete cuts answers off in the middle, both with a length and with chunks. The caller must
 // detect that the answer is incomplete.
 func TestTruncatedAnswerIsNotComplete(t *testing.T) {
