--- a/internal/host/crossing_test.go
+++ b/internal/host/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -80,6 +81,14 @@
 	*Instance
 	dials chan chan struct{} // one channel for each dial; closing it lets the connection be established
 	pool  *backends.Pool
+	// sendBuffer is the size in bytes of the send buffers of new connections; 0 for the kernel's default.
+	sendBuffer atomic.Int32
+}
+
+// setSocketOption sets an option of a socket.
+func setSocketOption(raw syscall.RawConn, option, value int) (err error) {
+	control := raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, value) })
+	return errors.Join(control, err)
 }
 
 func newFixture(t *testing.T, class balance.Class, servers ...*server) *fixture {
@@ -87,11 +96,14 @@
 	c := &fixture{dials: make(chan chan struct{}, 8)}
 	c.pool = backends.NewPool(backends.Limits{
 		Conns: 8, ConnectTimeout: 30 * time.Second, ConnIdle: 30 * time.Second, Options: backends.DefaultOptions(),
-		Control: func(_, _ string, _ syscall.RawConn) error {
+		Control: func(_, _ string, raw syscall.RawConn) error {
 			up := make(chan struct{})
 			c.dials <- up
 			<-up
-			return nil
+			if c.sendBuffer.Load() == 0 {
+				return nil
+			}
+			return setSocketOption(raw, syscall.SO_SNDBUF, int(c.sendBuffer.Load()))
 		},
 	})
 	set := balance.Settings{Instances: 1, MaxAttempts: 4, CanCancel: true, Classes: []balance.Class{class}}
--- a/internal/host/lastbyte_test.go
+++ b/internal/host/lastbyte_test.go
@@ -25,6 +25,9 @@
 // server's machine before the server reads it.
 const receiveBuffer = 16 << 10
 
+// settleTime is the time after which the sockets' buffers are full and an attempt's first permit no longer counts.
+const settleTime = 20 * time.Millisecond
+
 // slowServer accepts requests and reads only their heads until the test lets it read on.
 type slowServer struct {
 	address string
@@ -46,10 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-	})
-	if err != nil {
+	if err := setSocketOption(raw, syscall.SO_RCVBUF, receiveBuffer); err != nil {
 		t.Fatal(err)
 	}
 	s := &slowServer{address: l.Addr().String(), heads: make(chan http.Header, 8), readOn: make(chan struct{}), whole: make(chan bool, 8), l: l}
@@ -90,12 +90,29 @@
 	name   string
 	size   int
 	length int64 // as announced; -1 if unknown
+	// sendBuffer is the size in bytes of the attempts' send buffers; 0 lets the kernel take the whole body.
+	sendBuffer int32
 }
 
+func (k bodyKind) String() string { return fmt.Sprintf("%s %d %d", k.name, k.size, k.sendBuffer) }
+
+// smallBuffer is the size in bytes of a send buffer that takes a small part of a body.
+const smallBuffer = 8 << 10
+
 var bodyKinds = []bodyKind{
-	{"kept", body.MaxBufferedBytes, body.MaxBufferedBytes},
-	{"streamed", 800 << 10, 800 << 10},
-	{"chunked", 800 << 10, -1},
+	{"kept", body.MaxBufferedBytes, body.MaxBufferedBytes, 0},
+	{"kept", body.MaxBufferedBytes, body.MaxBufferedBytes, smallBuffer},
+	{"streamed", 800 << 10, 800 << 10, 0},
+	{"streamed", 800 << 10, 800 << 10, smallBuffer},
+	{"chunked", 800 << 10, -1, smallBuffer},
+}
+
+// heldBack are bodies that a server which reads nothing keeps in the proxy: in the socket's buffer or still to be written.
+// All of them have arrived whole at the proxy, so the time of their requests runs.
+var heldBack = []bodyKind{
+	{"kept", body.MaxBufferedBytes, body.MaxBufferedBytes, 0},
+	{"streamed", body.MaxBufferedBytes + 16<<10, body.MaxBufferedBytes + 16<<10, 0},
+	{"chunked", body.MaxBufferedBytes + 16<<10, -1, 0},
 }
 
 // submitBody submits a request whose body has arrived, or arrives as fast as the attempts read it.
@@ -105,6 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.sendBuffer.Store(k.sendBuffer)
 	m := &backends.Message{Method: "POST", URI: "/api", URL: &url.URL{Path: "/api"}, Host: "x", Header: http.Header{}, Body: b}
 	q := c.Submit(w, m, 0, -1, remaining, 0)
 	if rest != nil {
@@ -136,7 +154,7 @@
 // window, because the server reads slowly: its effect would be applied a second time.
 func TestWindowEndsWhileARepeatIsWritten(t *testing.T) {
 	for _, k := range bodyKinds {
-		t.Run(k.name, func(t *testing.T) {
+		t.Run(k.String(), func(t *testing.T) {
 			defer goleak.VerifyNone(t)
 			const window = 2 * time.Second
 			first := newServer(t, resetConn)
@@ -156,14 +174,6 @@
 	}
 }
 
-// heldBack are bodies that a server which reads nothing keeps in the proxy: in the socket's buffer or still to be written.
-// All of them have arrived whole at the proxy, so the time of their requests runs.
-var heldBack = []bodyKind{
-	{"kept", body.MaxBufferedBytes, body.MaxBufferedBytes},
-	{"streamed", body.MaxBufferedBytes + 16<<10, body.MaxBufferedBytes + 16<<10},
-	{"chunked", body.MaxBufferedBytes + 16<<10, -1},
-}
-
 // startSlowAttempt submits a request and returns when its head has reached the server, which reads no more than that.
 func startSlowAttempt(t *testing.T, w Caller, k bodyKind, remaining time.Duration) (*fixture, *slowServer, *Request) {
 	t.Helper()
@@ -181,17 +191,16 @@
 func TestRequestIsNotCompletedAfterItsCallerLeft(t *testing.T) {
 	for _, reported := range []bool{false, true} { // whether the caller's end has been read, or only the kernel knows
 		for _, k := range append(heldBack, bodyKinds[1:]...) {
-			t.Run(fmt.Sprint(k.name, " ", k.size, " ", reported), func(t *testing.T) {
+			t.Run(fmt.Sprint(k, " ", reported), func(t *testing.T) {
 				defer goleak.VerifyNone(t)
 				w := &testCaller{}
 				c, s, q := startSlowAttempt(t, w, k, requestTimeout)
 				defer c.close()
 				defer s.close()
+				time.Sleep(settleTime)
 				w.gone.Store(true)
 				if reported {
 					c.Drop(q)
-				} else {
-					time.Sleep(20 * time.Millisecond) // until what was asked before the head no longer counts
 				}
 				s.readBodies()
 				if await(t, "the end of the request", s.whole) {
@@ -209,7 +218,7 @@
 // last bytes stood in the socket's buffer and were still sent after the connection was closed.
 func TestRequestIsNotCompletedAfterItsDeadline(t *testing.T) {
 	for _, k := range heldBack {
-		t.Run(k.name, func(t *testing.T) {
+		t.Run(k.String(), func(t *testing.T) {
 			defer goleak.VerifyNone(t)
 			c, s, q := startSlowAttempt(t, &testCaller{}, k, time.Second)
 			defer c.close()
@@ -230,7 +239,7 @@
 func TestAnnouncedTimeHoldsAtTheLastByte(t *testing.T) {
 	const slack = 150 * time.Millisecond // as allowed by the protocol
 	for _, k := range bodyKinds {
-		t.Run(k.name, func(t *testing.T) {
+		t.Run(k.String(), func(t *testing.T) {
 			defer goleak.VerifyNone(t)
 			first := newServer(t, resetConn)
 			defer first.close()
@@ -263,15 +272,15 @@
 // TestDrainDoesNotCutARequestThatIsBeingWritten guards against a long upload that fails because its server begins to
 // drain or is taken out: a send counts from its first byte, and the server finishes what it has.
 func TestDrainDoesNotCutARequestThatIsBeingWritten(t *testing.T) {
-	for _, k := range bodyKinds[1:] {
-		t.Run(k.name, func(t *testing.T) {
+	for _, k := range append(heldBack[1:], bodyKinds[2:]...) {
+		t.Run(k.String(), func(t *testing.T) {
 			defer goleak.VerifyNone(t)
 			c, s, q := startSlowAttempt(t, &testCaller{}, k, requestTimeout)
 			defer c.close()
 			defer s.close()
 			c.SetBanned("a", true)
 			c.Update(balance.Delta, []balance.Entry{{ID: "a", State: balance.Draining}}, nil)
-			time.Sleep(20 * time.Millisecond) // until what was asked before the head no longer counts
+			time.Sleep(settleTime)
 			s.readBodies()
 			if f := await(t, "the answer", q.Final()); f.Outcome != Served || !await(t, "the end of the request", s.whole) {
 				t.Errorf("outcome %v", f.Outcome)
