--- a/review/6/main.go
+++ b/review/6/main.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	clients = 8
+	clients = 16
 	length  = 40 * time.Second
 	// The lateness of a second answer, after the first.
-	earliest, latest = 6 * time.Millisecond, 12 * time.Millisecond
-	share            = 0.1 // of the answers that have a second one
+	earliest, latest = 6 * time.Millisecond, 9 * time.Millisecond
+	share            = 0.05 // of the answers that have a second one
 )
 
 // unread returns how many bytes wait in the socket.
@@ -103,7 +103,7 @@
 					c.Close()
 					c = nil
 				}
-				time.Sleep(between(0, 30*time.Millisecond))
+				time.Sleep(between(0, 80*time.Millisecond))
 			}
 		})
 	}
