--- a/review/play2/run.go
+++ b/review/play2/run.go
@@ -150,6 +150,8 @@
 	Limits    map[string]any `json:"limits"`
 	Known     any            `json:"known"`
 	Settings  map[string]any `json:"settings"`
+
+	OperatorFile string `json:"-"` // passed on with run -c; "" for none
 }
 
 // Class is a request class of the settings.
@@ -197,7 +199,11 @@
 	r.Must(os.WriteFile(file, text, 0o600))
 	log, err := os.Create(filepath.Join(r.Temp, name+".log"))
 	r.Must(err)
-	cmd := exec.Command("/bin/sh", "-c", os.Getenv("RUN"))
+	command := os.Getenv("RUN")
+	if c.OperatorFile != "" {
+		command += " run -c " + c.OperatorFile
+	}
+	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Dir = os.Getenv("ROOT")
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+file, "TMPDIR="+r.Temp)
 	cmd.Env = append(cmd.Env, env...)
