--- a/review/8/main.go
+++ b/review/8/main.go
@@ -21,7 +21,7 @@
 	// late is when an answer counts as lost: "up to half a second after its time it only earns nothing".
 	late = remaining + 500*time.Millisecond
 	// The bodies have many sizes, since the system's buffers decide how much of one arrives while the backend hangs.
-	clients, least, piece = 250, 100 << 10, 512
+	clients, least, piece = 400, 110 << 10, 256
 	hungBuffer            = 32 << 10 // of the sockets of the backends that hang
 	backends, hung        = 6, 2
 )
