--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,119 +1,124 @@
-// Command 8 plays backends that hang, and clients that send long bodies in chunks.
+// Command 8 plays an upgrade whose new process is killed, and a second upgrade.
 package main
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"net"
-	"strings"
+	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"brasswell/review/play2"
 )
 
 const (
-	remaining = 2 * time.Second
-	// late is when an answer counts as lost: "up to half a second after its time it only earns nothing".
-	late = remaining + 500*time.Millisecond
-	// The bodies have many sizes, since the system's buffers decide how much of one arrives while the backend hangs.
-	clients, least, piece = 400, 110 << 10, 256
-	hungBuffer            = 32 << 10 // of the sockets of the backends that hang
-	backends, hung        = 6, 2
+	suspended = "b1"
+	clients   = 8
 )
 
-// unacknowledged returns how many bytes of a connection the peer's machine has not accepted yet.
-func unacknowledged(c net.Conn) (n int) {
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return -1
+func main() {
+	r := play2.Begin()
+	var mu sync.Mutex
+	var outSince time.Time // the yes to the call that takes the backend out; zero before
+	var late atomic.Int64
+	handle := func(b *play2.Backend, q *play2.Request) bool {
+		mu.Lock()
+		since := outSince
+		mu.Unlock()
+		if b.Host.Host == suspended && !since.IsZero() && time.Since(since) > play2.DrainGrace+play2.DrainSlack {
+			late.Add(1)
+			r.Break("%s got %s %.3f s after the console's yes to its suspension", suspended, q.ID, time.Since(since).Seconds())
+		}
+		time.Sleep(5 * time.Millisecond)
+		return q.Reply(b.Answer(q))
 	}
-	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
-		return -1
+	var hosts []play2.Host
+	for i := range 4 {
+		hosts = append(hosts, r.StartBackend(fmt.Sprintf("b%d", i), handle).Host)
 	}
-	return n
-}
+	d := r.StartDiscovery(hosts)
 
-// hang makes a backend that takes connections and reads nothing.
-func hang(r *play2.Run, name string) play2.Host {
-	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, hungBuffer) })
-	}}
-	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	// The platform holds the listening socket; every process has it as descriptor 4.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	r.Must(err)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
+	socket, err := l.(*net.TCPListener).File()
+	r.Must(err)
+	null, err := os.Open(os.DevNull)
+	r.Must(err)
+	listen := l.Addr().String()
+	start := func(name string) (*play2.Process, string) {
+		c := play2.NewConfig(listen, d.Address, d.Known(), play2.Class{"name": "a", "aim_ms": 1000, "give_up_ms": 2000, "effect": "free", "worth": 1})
+		console := r.FreeAddress()
+		p := r.Start(name, c, []string{"RELAY_NAME=n1", "RELAY_CONSOLE=" + console, "RELAY_SOCKET_FD=4"}, null, socket)
+		for end := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+			r.Check(!p.Ended() && time.Now().Before(end), "%s does not get ready:\n%s", name, p.Log())
+			if status, err := play2.Console(console, "GET", "/v1/readyz"); err == nil && status == http.StatusOK {
+				r.Note("%s says yes to readyz", name)
+				return p, console
 			}
-			r.Note("%s hangs on a connection", name)
-			defer c.Close() // until the end of the run
-		}
-	}()
-	return play2.Host{Host: name, Dial: l.Addr().String(), Site: "a", Class: "m", Block: 1, Health: "up", Share: 1}
-}
-
-func main() {
-	r := play2.Begin()
-	var hosts []play2.Host
-	for i := range backends {
-		name := fmt.Sprintf("b%d", i)
-		if i >= backends-hung && r.Trouble {
-			hosts = append(hosts, hang(r, name))
-		} else {
-			hosts = append(hosts, r.StartBackend(name, nil).Host)
 		}
 	}
-	d := r.StartDiscovery(hosts)
-	listen := r.FreeAddress()
-	p := r.Start("n1", play2.NewConfig(listen, d.Address, d.Known(), play2.Class{
-		"name": "k", "aim_ms": remaining.Milliseconds(), "give_up_ms": remaining.Milliseconds(), "effect": "guarded", "group": "all", "window_ms": 5000, "worth": 1,
-	}), nil)
-	r.WaitHealthy(listen, p)
+	old, console := start("old")
+
+	var stop atomic.Bool
+	var served atomic.Int64
 	var all sync.WaitGroup
-	for n := range clients {
-		all.Go(func() { send(r, listen, least+n*piece) })
+	for range clients {
+		all.Go(func() {
+			var c *play2.Client
+			for !stop.Load() {
+				time.Sleep(10 * time.Millisecond)
+				if c == nil {
+					if c, _ = play2.Dial(listen); c == nil {
+						continue
+					}
+				}
+				id := play2.NewID()
+				status, _, resp, err := c.Do(r.Get(id, 2*time.Second), 3*time.Second)
+				r.Note("client got for %s: %d %v", id, status, err)
+				if status == http.StatusOK {
+					served.Add(1)
+				}
+				if err != nil || resp.Close {
+					c.Close()
+					c = nil
+				}
+			}
+		})
 	}
-	all.Wait()
-	r.Check(!p.Ended(), "the proxy has ended")
-	r.End()
-}
-
-// send sends one request and waits for its answer.
-func send(r *play2.Run, listen string, size int) {
-	c, err := play2.Dial(listen)
+	time.Sleep(time.Second)
+	status, err := play2.Console(console, "POST", "/v1/backends/"+suspended+"/suspend")
 	r.Must(err)
-	defer c.Close()
-	id := play2.NewID()
-	r.WillSend(id)
-	var text strings.Builder
-	fmt.Fprintf(&text, "POST /api/%s HTTP/1.1\r\nHost: backend.local\r\nX-Txn: %s\r\nX-Lane: k\r\nIdempotency-Key: %s\r\nX-Remaining-Ms: %d\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n", id, id, id, remaining.Milliseconds())
-	for range size / piece {
-		fmt.Fprintf(&text, "%x\r\n%s\r\n", piece, strings.Repeat("x", piece))
-	}
-	text.WriteString("0\r\n\r\n")
-	c.SetWriteDeadline(time.Now().Add(15 * time.Second))
-	if _, err := io.WriteString(c, text.String()); err != nil {
-		r.Note("%s of %d bytes: not written whole, so not taken: %v", id, size, err)
-		return
-	}
-	// The request's time begins when the proxy's machine has its last byte.
-	accepted := false
-	for end := time.Now().Add(time.Second); !accepted && time.Now().Before(end); time.Sleep(time.Millisecond) {
-		accepted = unacknowledged(c.Conn) == 0
-	}
-	begun := time.Now()
-	r.Note("%s of %d bytes: sent; last byte accepted by the proxy's machine: %v", id, size, accepted)
-	status, _, _, err := c.Answer(20 * time.Second)
-	took := time.Since(begun)
-	r.Note("%s of %d bytes: answered %d after %v (%v)", id, size, status, took, err)
-	if accepted && took > late {
-		r.Break("%s of %d bytes got no answer until %.1f s after its last byte (then %d, %v); it had %v", id, size, took.Seconds(), status, err, remaining)
+	r.Check(status/100 == 2, "suspend: %d", status)
+	mu.Lock()
+	outSince = time.Now()
+	mu.Unlock()
+	r.Note("the console says yes to suspend %s", suspended)
+	time.Sleep(2 * time.Second)
+	r.Check(late.Load() == 0, "the suspension did not hold before any upgrade")
+
+	if r.Trouble {
+		// The new process of the first upgrade is killed before the old one gets SIGTERM, so the old one serves on.
+		first, _ := start("first")
+		time.Sleep(500 * time.Millisecond)
+		first.Kill()
+		r.Note("first is killed; old serves on")
+		time.Sleep(2 * time.Second)
+		r.Check(late.Load() == 0, "the suspension did not hold after the first upgrade")
 	}
+	next, _ := start("next")
+	old.Signal(syscall.SIGTERM)
+	r.Check(old.WaitEnd(10*time.Second), "old does not end")
+	time.Sleep(3 * time.Second)
+	r.Check(!next.Ended(), "next has ended")
+	stop.Store(true)
+	all.Wait()
+	line := fmt.Sprintf("%d served; %d requests at the suspended backend", served.Load(), late.Load())
+	r.Note("%s", line)
+	fmt.Println(line)
+	r.Note("log of next:\n%s", next.Log())
+	r.End()
 }
