Reject requests with a length and a coding in HTTP/1.0 and behind chunked messages

Cause: net/http doesn't report the combination, and internal/framing, which does, was asked only where net/http reports a coding. In HTTP/1.0 net/http ignores and deletes it. Behind a message in chunks that reaches no backend (health check; OPTIONS *, which net/http answered by itself) the connection stayed open and the tracker went on reporting that first message. The same for answers in HTTP/1.0 with a coding, which were cut by their length and served.

Ruled out: the tracker's parser; its test sees both fields in each form.

Change: the tracker numbers messages, each request is asked for by its number, and one is forwarded only if net/http and the tracker agree. The answer to a message with a coding always closes its connection. OPTIONS * goes to the front. The tracker gets a lock: net/http's read beside a handler could feed it while the handler asked.

--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -13,6 +13,7 @@
 
 	"brasswell/balance"
 	"brasswell/internal/body"
+	"brasswell/internal/framing"
 )
 
 const (
@@ -197,6 +198,13 @@
 // by an orderly close of the connection (RFC 9112, section 6.3), not a reset. The protocol allows no
 // response over body.MaxBytes.
 func (c *conn) readAnswer(resp *http.Response) (data []byte, whole bool, err error) {
+	expected := framing.Plain
+	if resp.TransferEncoding != nil {
+		expected = framing.Chunked
+	}
+	if c.framing.Message(1) != expected {
+		return nil, false, errFraming // in HTTP/1.0, net/http ignores a transfer coding
+	}
 	switch {
 	case resp.ContentLength > body.MaxBytes:
 		return nil, false, body.ErrTooLarge
@@ -208,8 +216,6 @@
 			return nil, false, fmt.Errorf("answer: %w", err)
 		}
 		return data, whole, nil
-	case resp.ContentLength < 0 && !c.framing.Chunked():
-		return nil, false, errFraming
 	case resp.ContentLength > body.MaxBufferedBytes:
 		data = make([]byte, firstBytes)
 		n, err := resp.Body.Read(data)
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -172,7 +172,7 @@
 		k.requests++
 		c.setKind(k, kindBusy, now)
 	case state != http.StateIdle:
-	case !k.framing.AtMessageBoundary():
+	case !k.framing.atMessageBoundary():
 		c.setKind(k, kindPartial, now) // the next request has begun right after the last one
 	case k.requests <= 1:
 		c.setKind(k, kindOnce, now)
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -33,7 +33,7 @@
 
 // request runs one whole request on a connection.
 func request(s *Set, k *Conn) {
-	k.framing.Feed([]byte("GET / HTTP/1.1\r\n\r\n"))
+	k.framing.feed([]byte("GET / HTTP/1.1\r\n\r\n"))
 	s.Track(k, http.StateActive)
 	s.Track(k, http.StateIdle)
 }
@@ -129,7 +129,7 @@
 func TestPipelinedRequestIsNotIdle(t *testing.T) {
 	s := NewSet(2, 2, time.Hour)
 	k, d := admit(t, s)
-	k.framing.Feed([]byte("GET / HTTP/1.1\r\n\r\nGET /next"))
+	k.framing.feed([]byte("GET / HTTP/1.1\r\n\r\nGET /next"))
 	s.Track(k, http.StateActive)
 	s.Track(k, http.StateIdle)
 	if left := s.CloseIdle(0); left != 1 || d.closed {
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -19,7 +19,7 @@
 type Conn struct {
 	net.Conn
 	set         *Set
-	framing     framing.Tracker // tracks the bytes that the caller sends; used by the reading goroutine only
+	framing     requestFraming
 	buffered    []byte          // read from the socket and not yet returned by Read; used by the reading goroutine only
 	overflowed  bool            // the caller sent more than maxReadAhead; used by the reading goroutine only
 	acceptDelay time.Duration   // before the connection was accepted; used by the reading goroutine only
@@ -164,8 +164,9 @@
 	return age
 }
 
-// Chunked reports whether the last message read has chunked framing and no length.
-func (k *Conn) Chunked() bool { return k.framing.Chunked() }
+// BeginRequest records that a request is passed to the handler, and returns how it is framed. It must be called once for
+// each request, before its body is read.
+func (k *Conn) BeginRequest() framing.Kind { return k.framing.beginRequest() }
 
 // Folded reports whether a header field in any head so far was continued on the next line.
-func (k *Conn) Folded() bool { return k.framing.Folded() }
+func (k *Conn) Folded() bool { return k.framing.folded() }
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -41,7 +41,7 @@
 	if !ok || c.shutdown || k.closed || k.state != http.StateActive || c.lingering >= min(maxLingering, c.hardLimit-c.softLimit) {
 		return false
 	}
-	if k.framing.AtMessageBoundary() && len(k.buffered) == 0 && !k.hasUnread() {
+	if k.framing.atMessageBoundary() && len(k.buffered) == 0 && !k.hasUnread() {
 		return false
 	}
 	k.closed = true
--- a/internal/callers/park.go
+++ b/internal/callers/park.go
@@ -114,7 +114,8 @@
 		return false
 	}
 	// The server may still refer to k, for which the connection has ended, so the parked connection gets a new Conn.
-	parked := &Conn{set: c, framing: k.framing, kind: kindBusy, requests: k.requests}
+	parked := &Conn{set: c, kind: kindBusy, requests: k.requests}
+	parked.framing.copyFrom(&k.framing)
 	kind, since := k.kind, k.since
 	c.remove(k)
 	pollerKey, err := p.poller.Park(tcp, parked)
--- a/internal/callers/read.go
+++ b/internal/callers/read.go
@@ -14,7 +14,7 @@
 // Read reads for net/http, and tracks where one request ends and the next begins.
 func (k *Conn) Read(b []byte) (int, error) {
 	n, err := k.read(b)
-	k.framing.Feed(b[:n])
+	k.framing.feed(b[:n])
 	return n, err
 }
 
--- /dev/null
+++ b/internal/callers/requestframing.go
@@ -0,0 +1,50 @@
+package callers
+
+import (
+	"sync"
+
+	"brasswell/internal/framing"
+)
+
+// requestFraming relates the requests that net/http passes to the handler to the messages that a tracker finds in the
+// bytes read. The tracker may be ahead: net/http reads several pipelined requests at a time. Its methods may be called
+// concurrently, because net/http also reads while a handler runs.
+type requestFraming struct {
+	mu      sync.Mutex
+	tracker framing.Tracker
+	begun   int // number of requests passed to the handler
+}
+
+// feed processes the next bytes read.
+func (f *requestFraming) feed(b []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.Feed(b)
+}
+
+// beginRequest counts a request and returns how it is framed.
+func (f *requestFraming) beginRequest() framing.Kind {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun++
+	return f.tracker.Message(f.begun)
+}
+
+func (f *requestFraming) folded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Folded()
+}
+
+func (f *requestFraming) atMessageBoundary() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.AtMessageBoundary()
+}
+
+// copyFrom takes over what another connection's bytes have shown.
+func (f *requestFraming) copyFrom(other *requestFraming) {
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	f.tracker, f.begun = other.tracker, other.begun
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -14,9 +14,9 @@
 // and rejects malformed ones.
 //
 // It protects against this kind of request smuggling, and against other headers that it parses differently from
-// net/http: it stops at the first message with a transfer coding, and reports a message as chunked only if it clearly
-// saw framing by chunks alone. A valid chunked message may be rejected if net/http can parse its header and Tracker
-// cannot.
+// net/http: it stops at the first message with a transfer coding, reports that message as Chunked only if it clearly
+// saw framing by chunks alone, and reports all later ones as Unknown. A valid chunked message may be rejected if net/http
+// can parse its header and Tracker cannot.
 type Tracker struct {
 	line      [64]byte // beginning of the current line
 	lineLen   int
@@ -27,12 +27,24 @@
 	length               int64 // announced length of the body
 	bodyLeft             int64 // bytes of a body that have not arrived yet
 	interim              int   // number of 1xx responses so far
+	messages             int   // number of header sections so far, not counting those of 1xx responses
+	last                 Kind  // how the last of these messages is framed
 	afterInterim         bool  // the last header section was that of a 1xx response
 	stopped              bool  // tracking has stopped
-	chunked              bool  // the message at which tracking stopped has chunks and no length
 	folded               bool  // a header field was continued on the next line
 }
 
+// Kind is how the end of a message is determined.
+type Kind int
+
+// The kinds of framing.
+const (
+	Unknown   Kind = iota // the message is not tracked, because an earlier one has a transfer coding or a malformed length
+	Plain                 // by a length, or without a transfer coding
+	Chunked               // by a transfer coding alone
+	Ambiguous             // there are both a length and a transfer coding
+)
+
 var (
 	lengthField = []byte("content-length")
 	codingField = []byte("transfer-encoding")
@@ -95,13 +107,37 @@
 		f.interim++
 	}
 	f.stopped = f.stopped || f.hasCoding
-	f.chunked = f.hasCoding && !f.hasLength
 	if !f.isInterim {
 		f.bodyLeft = f.length
+		f.messages++
+		f.last = f.headKind()
 	}
 	f.inHead, f.isInterim, f.hasLength, f.hasCoding, f.length = false, false, false, false, 0
 }
 
+// headKind returns the framing that the current header section determines.
+func (f *Tracker) headKind() Kind {
+	switch {
+	case !f.hasCoding:
+		return Plain
+	case f.hasLength:
+		return Ambiguous
+	}
+	return Chunked
+}
+
+// Message returns how the nth message is framed, not counting 1xx responses. The first one has number 1. It returns
+// Unknown for a message whose header section has not been tracked to its end.
+func (f *Tracker) Message(n int) Kind {
+	switch {
+	case n < 1 || n > f.messages:
+		return Unknown
+	case n < f.messages:
+		return Plain // tracking continues only after such messages
+	}
+	return f.last
+}
+
 // InterimCount returns the number of 1xx responses so far.
 func (f *Tracker) InterimCount() int { return f.interim }
 
@@ -110,9 +146,6 @@
 	return f.afterInterim && !f.inHead && f.lineLen == 0 && !f.stopped
 }
 
-// Chunked reports whether the message at which tracking stopped is framed by chunks and has no length.
-func (f *Tracker) Chunked() bool { return f.chunked }
-
 // Folded reports whether a header field so far was continued on the next line (obsolete line folding, RFC 9112, section
 // 5.2). net/http joins such lines. A recipient that doesn't join them reads a separate field there, which may determine
 // where the message ends.
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -5,17 +5,19 @@
 func TestTrackerFollowsMessages(t *testing.T) {
 	const te = "Transfer-Encoding: chunked\r\n"
 	for name, c := range map[string]struct {
-		text    string
-		chunked bool
+		text string
+		want []Kind // of each message
 	}{
-		"chunks":               {"POST / HTTP/1.1\r\n" + te + "\r\n", true},
-		"both":                 {"POST / HTTP/1.1\r\nContent-Length: 4\r\n" + te + "\r\n", false},
-		"both, other order":    {"POST / HTTP/1.1\r\n" + te + "CONTENT-LENGTH : 4\n\n", false},
-		"after a body":         {"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\na\n\nPOST / HTTP/1.1\r\n" + te + "\r\n", true},
-		"fields within a body": {"POST / HTTP/1.1\r\nContent-Length: 28\r\n\r\n" + te + "POST / HTTP/1.1\r\nContent-Length: 1\r\n" + te + "\r\n", false},
-		"after 1xx":            {"HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\n" + te + "\r\n", true},
-		"no number":            {"POST / HTTP/1.1\r\nContent-Length: ten\r\n" + te + "\r\n", false},
-		"none":                 {"GET / HTTP/1.1\r\n\r\n", false},
+		"chunks":               {"POST / HTTP/1.1\r\n" + te + "\r\n", []Kind{Chunked}},
+		"both":                 {"POST / HTTP/1.1\r\nContent-Length: 4\r\n" + te + "\r\n", []Kind{Ambiguous}},
+		"both, other order":    {"POST / HTTP/1.1\r\n" + te + "CONTENT-LENGTH : 4\n\n", []Kind{Ambiguous}},
+		"both in HTTP/1.0":     {"POST / HTTP/1.0\r\nContent-Length: 4\r\n" + te + "\r\n", []Kind{Ambiguous}},
+		"after a body":         {"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\na\n\nPOST / HTTP/1.1\r\n" + te + "\r\n", []Kind{Plain, Chunked}},
+		"fields within a body": {"POST / HTTP/1.1\r\nContent-Length: 28\r\n\r\n" + te + "POST / HTTP/1.1\r\nContent-Length: 1\r\n" + te + "\r\n", []Kind{Plain, Ambiguous}},
+		"after 1xx":            {"HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\n" + te + "\r\n", []Kind{Chunked}},
+		"no number":            {"POST / HTTP/1.1\r\nContent-Length: ten\r\n" + te + "\r\n", nil},
+		"none":                 {"GET / HTTP/1.1\r\n\r\n", []Kind{Plain}},
+		"behind chunks":        {"GET / HTTP/1.1\r\n" + te + "\r\n0\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 4\r\n" + te + "\r\n", []Kind{Chunked}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for step := 1; step <= len(c.text); step++ {
@@ -23,8 +25,14 @@
 				for b := []byte(c.text); len(b) > 0; b = b[min(step, len(b)):] {
 					f.Feed(b[:min(step, len(b))])
 				}
-				if f.Chunked() != c.chunked {
-					t.Fatalf("in pieces of %d bytes: chunked %t", step, f.Chunked())
+				for n := range 4 {
+					want := Unknown
+					if n < len(c.want) {
+						want = c.want[n]
+					}
+					if got := f.Message(n + 1); got != want {
+						t.Fatalf("in pieces of %d bytes: message %d is of kind %d, want %d", step, n+1, got, want)
+					}
 				}
 			}
 		})
--- a/internal/framing/fuzz_test.go
+++ b/internal/framing/fuzz_test.go
@@ -14,8 +14,10 @@
 		for b := text; len(b) > 0; b = b[min(n, len(b)):] {
 			parts.Feed(b[:min(n, len(b))])
 		}
-		if whole.Chunked() != parts.Chunked() {
-			t.Fatalf("whole: chunked %t, in pieces of %d: %t", whole.Chunked(), n, parts.Chunked())
+		for message := range 4 {
+			if whole.Message(message) != parts.Message(message) {
+				t.Fatalf("message %d, whole: %d, in pieces of %d: %d", message, whole.Message(message), n, parts.Message(message))
+			}
 		}
 	})
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"brasswell/internal/channel"
 	"brasswell/internal/channel/handshake"
 	"brasswell/internal/figures"
+	"brasswell/internal/framing"
 	"brasswell/internal/host"
 	"brasswell/internal/restart"
 	"brasswell/internal/settings"
@@ -66,14 +67,15 @@
 
 // ServeHTTP answers a health check, or serves a request and writes its one final answer.
 func (s *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.restart.Closing() {
-		w.Header().Set("Connection", "close")
+	kind := framingOf(r)
+	if s.restart.Closing() || kind != framing.Plain {
+		w.Header().Set("Connection", "close") // framing does not track what follows a message with a transfer coding
 	}
 	if r.URL.Path == "/_health" {
 		s.health(w)
 		return
 	}
-	info, err := s.readHead(r)
+	info, err := s.readHead(r, kind)
 	if err != nil {
 		s.reject(w, info, http.StatusBadRequest, err)
 		return
@@ -117,9 +119,6 @@
 }
 
 func (s *Front) serve(w http.ResponseWriter, r *http.Request, info requestInfo, buffered *body.Body) {
-	if r.TransferEncoding != nil {
-		w.Header().Set("Connection", "close") // framing does not track what follows a chunked body
-	}
 	taken := time.Now()
 	s.figures.RequestStarted()
 	defer s.figures.RequestEnded()
--- a/internal/front/head.go
+++ b/internal/front/head.go
@@ -9,6 +9,7 @@
 
 	"brasswell/balance"
 	"brasswell/internal/callers"
+	"brasswell/internal/framing"
 	"brasswell/internal/settings"
 )
 
@@ -30,15 +31,15 @@
 
 // readHead reads a request's head, or returns what is wrong with it. It guesses nothing: a deadline or class made up
 // for an invalid request would reach the backends, and the balancer would learn from it.
-func (s *Front) readHead(r *http.Request) (requestInfo, error) {
+func (s *Front) readHead(r *http.Request, kind framing.Kind) (requestInfo, error) {
 	info := requestInfo{class: -1}
 	for _, field := range []string{IDField, ClassField, TenantField, RemainingField, KeyField} {
 		if len(r.Header[field]) > 1 {
 			return info, fmt.Errorf("%s: given more than once", field)
 		}
 	}
-	if r.TransferEncoding != nil && !chunked(r) {
-		return info, errors.New("both Content-Length and Transfer-Encoding")
+	if err := checkFraming(r, kind); err != nil {
+		return info, err
 	}
 	if c := callers.ConnOf(r); c != nil && c.Folded() {
 		return info, errors.New("a header field over two lines")
@@ -84,8 +85,33 @@
 	return nil
 }
 
-// chunked reports whether the request's body has chunked framing and no length, as far as its connection shows.
-func chunked(r *http.Request) bool {
-	c := callers.ConnOf(r)
-	return c != nil && c.Chunked()
+// framingOf returns how a request is framed, as far as its connection shows. It must be called once for each request.
+func framingOf(r *http.Request) framing.Kind {
+	switch c := callers.ConnOf(r); {
+	case c != nil:
+		return c.BeginRequest()
+	case r.TransferEncoding == nil:
+		return framing.Plain
+	}
+	return framing.Unknown
+}
+
+// checkFraming returns an error unless net/http and the connection's tracker agree on where a request ends. net/http
+// ignores a length beside a transfer coding, and a transfer coding in HTTP/1.0.
+func checkFraming(r *http.Request, kind framing.Kind) error {
+	switch kind {
+	case framing.Ambiguous:
+		return errors.New("both Content-Length and Transfer-Encoding")
+	case framing.Unknown:
+		return errors.New("a request behind a message with a transfer coding: send it on another connection")
+	case framing.Chunked:
+		if r.TransferEncoding == nil {
+			return errors.New("Transfer-Encoding in " + r.Proto + ", which has none: send HTTP/1.1")
+		}
+	case framing.Plain:
+		if r.TransferEncoding != nil {
+			return errors.New("Transfer-Encoding in a form that can be read in two ways")
+		}
+	}
+	return nil
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -139,8 +139,8 @@
 			open = false
 		}
 	}
-	if filled != nil || r.TransferEncoding != nil {
-		w.Header().Set("Connection", "close") // the start of the next request is unknown, or not tracked
+	if filled != nil {
+		w.Header().Set("Connection", "close") // the start of the next request is unknown
 	}
 	if f.Outcome != host.Served {
 		buffered.Stream().CloseWithError(body.ErrStreamClosed) // no attempt needs the rest
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -20,6 +20,8 @@
 		"no length, no chunks":  ok + "\r\npart of it",
 		"length over 32 MiB":    ok + "Content-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20),
 		"length and chunks":     ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+		"both in HTTP/1.0":      "HTTP/1.0 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0":    "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
 		"broken chunks":         ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
 		"head that stops":       ok + "Content-Le",
 		"body that stops":       ok + "Content-Length: 9\r\n\r\nabcd",
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -33,7 +33,9 @@
 		MaxHeaderBytes:    int(o.MaxHead),
 		ConnState:         set.Track,
 		ConnContext:       callers.WithConn,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		// The front answers OPTIONS * like any other request, so that it sees every message of a connection.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 }
 
--- a/internal/proxy/smuggling_test.go
+++ b/internal/proxy/smuggling_test.go
@@ -103,6 +103,14 @@
 	} {
 		add("GET", name, get+rest)
 	}
+	for _, connection := range []string{"", "Connection: keep-alive\r\n", "Connection: keep-alive, x\r\n"} {
+		for _, coding := range []string{"chunked", "identity", "x", ""} {
+			old := strings.Replace(message(connection+length+"Transfer-Encoding: "+coding+"\r\n", chunks), "HTTP/1.1", "HTTP/1.0", 1)
+			add("HTTP/1.0", fmt.Sprintf("%q, %q", connection, coding), old)
+			add("HTTP/1.0", fmt.Sprintf("%q, %q, short", connection, coding), strings.Replace(old, length, short, 1))
+			add("HTTP/1.0", fmt.Sprintf("%q, %q alone", connection, coding), strings.Replace(old, length, "", 1))
+		}
+	}
 	return all
 }
 
@@ -158,6 +166,59 @@
 	}
 }
 
+// TestNothingIsForwardedBehindAChunkedMessageWithoutARequest: a message in chunks that reaches no backend, such as a health
+// check, must be the last one on its connection, because the framing of what follows is not tracked.
+func TestNothingIsForwardedBehindAChunkedMessageWithoutARequest(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", idAnswer)
+	g := newTestProxy(t, nil, entry("s1", b.address, "up"))
+	const chunked = " HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+	leads := map[string]string{
+		"a health check":             "GET /_health" + chunked,
+		"a health check by POST":     "POST /_health" + chunked,
+		"OPTIONS *":                  "OPTIONS *" + chunked,
+		"a health check in HTTP/1.0": "GET /_health HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"a health check with both":   "GET /_health HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	}
+	second := ambiguous()[`length and coding/"chunked" after`]
+	for name, lead := range leads {
+		for way, sentTogether := range map[string]bool{"at once": true, "one after the other": false} {
+			t.Run(name+", "+way, func(t *testing.T) {
+				c := dialAt(t, g.address)
+				if sentTogether {
+					c.send(lead + second)
+				} else {
+					c.send(lead)
+				}
+				if status, _ := c.answer(); status == 0 {
+					t.Fatal("the first message has no answer")
+				}
+				if !sentTogether {
+					c.send(second)
+				}
+				c.expectClosed()
+			})
+		}
+	}
+	if n := len(b.requests); n > 0 {
+		t.Errorf("%d requests reached the backend, the first %s", n, <-b.requests)
+	}
+}
+
+// TestChunkedRequestBehindAPipelinedOne: a request in chunks that arrives together with the one before it is served, and
+// the connection is closed only after it.
+func TestChunkedRequestBehindAPipelinedOne(t *testing.T) {
+	b := newBackend(t, "127.0.0.1:0", idAnswer)
+	c := newTestProxy(t, nil, entry("s1", b.address, "up")).dial()
+	c.send(head("first") + "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: second\r\nX-Lane: hold\r\nX-Remaining-Ms: 900\r\nIdempotency-Key: k\r\n" +
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n")
+	for _, id := range []string{"first", "second"} {
+		if status, text := c.answer(); status != 200 || text != id {
+			t.Fatalf("%s: %d %q", id, status, text)
+		}
+	}
+	c.expectClosed()
+}
+
 // TestUnusualValidMessagesAreReframed: an unusual message that can be parsed in only one way is forwarded with a new
 // length and without the caller's framing fields. After it comes the next request or the end of the connection.
 func TestUnusualValidMessagesAreReframed(t *testing.T) {
