End requests in time whose chunked body, or whose end, the proxy cannot read

Cause: the request's time starts with the last byte, and the proxy does not read while the server takes nothing. Only an announced length told it that a body had arrived meanwhile; a body in chunks, or one whose end the client's system still holds, was ended by stream_silence, or by nothing if the server reads slowly.

Ruled out: a deadline timer that does not fire (it was not started; with a length the same requests are answered in time). Reading ahead further was not done: memory, and the end of a larger body is as unknown.

A body that has arrived counts as received at once, so its attempt can be repeated elsewhere. One whose end may be in the client's system (up to 4 MiB) counts as received once it was held up for as long as the client waits.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -124,12 +124,6 @@
 	return delay
 }
 
-// MaxBuffered is the number of bytes that may have been read from a connection and not been passed on to a request's body.
-const MaxBuffered = maxReadAhead + httpBuffer
-
-// httpBuffer is the size in bytes of the buffer through which net/http reads a connection.
-const httpBuffer = 4 << 10
-
 // Unread returns how many received bytes have not been read from the connection according to the kernel. ok is false if
 // the kernel gives no answer.
 func (k *Conn) Unread() (bytes int, ok bool) {
--- a/internal/callers/requestframing.go
+++ b/internal/callers/requestframing.go
@@ -42,6 +42,13 @@
 	return f.tracker.AtMessageBoundary()
 }
 
+// current returns the number of the request that was passed to the handler last, and the tracker as it is now.
+func (f *requestFraming) current() (int, framing.Tracker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.begun, f.tracker
+}
+
 // copyFrom takes over what another connection's bytes have shown.
 func (f *requestFraming) copyFrom(other *requestFraming) {
 	other.mu.Lock()
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -24,14 +24,15 @@
 	isInterim bool // the header section is that of a 1xx response, so another one follows
 
 	hasLength, hasCoding bool
-	length               int64 // announced length of the body
-	bodyLeft             int64 // bytes of a body that have not arrived yet
-	interim              int   // number of 1xx responses so far
-	messages             int   // number of header sections so far, not counting those of 1xx responses
-	last                 Kind  // how the last of these messages is framed
-	afterInterim         bool  // the last header section was that of a 1xx response
-	stopped              bool  // tracking has stopped
-	folded               bool  // a header field was continued on the next line
+	length               int64        // announced length of the body
+	bodyLeft             int64        // bytes of a body that have not arrived yet
+	interim              int          // number of 1xx responses so far
+	messages             int          // number of header sections so far, not counting those of 1xx responses
+	last                 Kind         // how the last of these messages is framed
+	afterInterim         bool         // the last header section was that of a 1xx response
+	stopped              bool         // tracking has stopped
+	chunks               chunkScanner // of the message at which it has stopped, if that is Chunked
+	folded               bool         // a header field was continued on the next line
 }
 
 // Kind is how the end of a message is determined.
@@ -52,7 +53,13 @@
 
 // Feed processes the next bytes received.
 func (f *Tracker) Feed(b []byte) {
-	for len(b) > 0 && !f.stopped {
+	for len(b) > 0 {
+		if f.stopped {
+			if f.last == Chunked {
+				f.chunks.feed(b)
+			}
+			return
+		}
 		if f.bodyLeft > 0 {
 			n := min(f.bodyLeft, int64(len(b)))
 			f.bodyLeft -= n
@@ -138,6 +145,18 @@
 	return f.last
 }
 
+// BodyComplete reports whether the body of the nth message has been fed to its end. unseen is the number of bytes that
+// have arrived behind those that were fed. A body in chunks is complete only if its end has been fed.
+func (f *Tracker) BodyComplete(n int, unseen int) bool {
+	switch f.Message(n) {
+	case Plain:
+		return n < f.messages || f.bodyLeft <= int64(unseen)
+	case Chunked:
+		return f.chunks.state == chunksEnded
+	}
+	return false
+}
+
 // InterimCount returns the number of 1xx responses so far.
 func (f *Tracker) InterimCount() int { return f.interim }
 
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -1,6 +1,9 @@
 package framing
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 func TestTrackerFollowsMessages(t *testing.T) {
 	const te = "Transfer-Encoding: chunked\r\n"
@@ -60,3 +63,39 @@
 		}
 	}
 }
+
+// TestBodyCompleteAtItsLastByte guards against a body in chunks that is taken for complete too early or never: its end is
+// searched in bytes that nobody has read.
+func TestBodyCompleteAtItsLastByte(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\n"
+	for name, text := range map[string]string{
+		"a length":             head + "Content-Length: 4\r\n\r\nabcd",
+		"no body":              "GET / HTTP/1.1\r\n\r\n",
+		"chunks":               head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\nA\r\n0\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n",
+		"extensions":           head + "Transfer-Encoding: chunked\r\n\r\n04 ;a=0\r\n0\r\n\r\r\n000;0\r\n\r\n",
+		"trailers":             head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: y\r\nZ:\r\n\r\n",
+		"bare line feeds":      head + "Transfer-Encoding: chunked\n\n1\na\n0\n\n",
+		"behind another":       "GET / HTTP/1.1\r\n\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"an enormous size":     head + "Transfer-Encoding: chunked\r\n\r\n7fffffffffffffff0\r\n0\r\n\r\n",
+		"length and coding":    head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"behind a chunked one": head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + head + "Content-Length: 1\r\n\r\na",
+	} {
+		t.Run(name, func(t *testing.T) {
+			number := 1
+			if strings.HasPrefix(name, "behind") {
+				number = 2
+			}
+			endless := map[string]bool{"an enormous size": true, "length and coding": true, "behind a chunked one": true}[name]
+			var f Tracker
+			for i := range len(text) {
+				if f.BodyComplete(number, 0) {
+					t.Fatalf("complete after %d of %d bytes", i, len(text))
+				}
+				f.Feed([]byte(text[i : i+1]))
+			}
+			if f.BodyComplete(number, 0) == endless {
+				t.Errorf("complete: %t", !endless)
+			}
+		})
+	}
+}
--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -7,37 +7,80 @@
 	"brasswell/internal/callers"
 )
 
-// arrivalCheckInterval is how often it is checked whether a body has arrived that is not read.
-const arrivalCheckInterval = 100 * time.Millisecond
+const (
+	// arrivalCheckInterval is how often a body is checked that is not read, because the server takes no bytes.
+	arrivalCheckInterval = 100 * time.Millisecond
+	// maxSenderBuffer is the most bytes that a caller's own system holds of what the caller has written: the default
+	// maximum of a Linux socket's send buffer.
+	maxSenderBuffer = 4 << 20
+)
 
-// arrivalWatch detects a body that has arrived although the proxy does not read it, because the server takes no bytes. The
-// request's deadline would never start otherwise. It cannot detect the end of a body of unknown length.
+// arrivalWatch determines when a body has arrived that the proxy cannot read, because the server is slower than the
+// caller. The request's time would otherwise begin only when the server has taken most of it, or never.
+//
+// It guards against answers that come after the caller has left. A body whose end stands in the socket or in net/http's
+// buffer has arrived. If bytes stand in the socket and the end is not among them, the caller may have written the end as
+// well: its own system holds it until the proxy reads. Such a body is assumed to be complete once it has been held up for as long as the caller waits
+// for an answer. This fails requests of callers that were still writing, if their server takes that long for a few MiB.
 type arrivalWatch struct {
-	stream *body.Stream
-	conn   *callers.Conn // nil if the caller's connection is not tracked
-	ticker *time.Ticker  // tells when to call age
+	stream   *body.Stream
+	conn     *callers.Conn // nil if the caller's connection is not tracked
+	ticker   *time.Ticker  // tells when to call check
+	patience time.Duration // how long the caller waits for its answer
 
-	arrived int64
-	since   time.Time // when arrived has changed, or the body was last being read
+	arrived   int64
+	movedAt   time.Time // when arrived has changed, or the body was last being read
+	heldSince time.Time // since when bytes stand in the socket that the server is too slow for
 }
 
 // newArrivalWatch returns a watch whose ticker must be stopped.
-func newArrivalWatch(stream *body.Stream, conn *callers.Conn) *arrivalWatch {
-	return &arrivalWatch{stream: stream, conn: conn, ticker: time.NewTicker(arrivalCheckInterval), since: time.Now()}
+func newArrivalWatch(stream *body.Stream, conn *callers.Conn, patience time.Duration) *arrivalWatch {
+	now := time.Now()
+	return &arrivalWatch{
+		stream: stream, conn: conn, ticker: time.NewTicker(arrivalCheckInterval), patience: patience, movedAt: now, heldSince: now,
+	}
 }
 
-// age returns how long ago the body's last byte arrived, or 0 if the body is being read or has not arrived. Bytes that
-// net/http has buffered count as arrived.
-func (w *arrivalWatch) age(now time.Time) time.Duration {
+// check reports whether the body has arrived, or has to be treated so, and how long ago.
+func (w *arrivalWatch) check(now time.Time) (age time.Duration, arrived bool) {
 	if w.conn == nil {
-		return 0
+		return 0, false
 	}
 	filled, blocked := w.stream.Blocked()
 	unread, ok := w.conn.Unread()
-	arrived := filled + int64(unread)
-	whole := w.stream.Length() >= 0 && arrived+callers.MaxBuffered >= w.stream.Length()
-	if !ok || !blocked || !whole || arrived != w.arrived {
-		w.arrived, w.since = arrived, now
+	if ok && blocked && w.endInSocket(filled) {
+		return w.conn.SinceLastData(), true
+	}
+	if !ok || !blocked || unread == 0 {
+		w.movedAt, w.heldSince = now, now
+		return 0, false
+	}
+	if filled+int64(unread) != w.arrived {
+		w.arrived, w.movedAt = filled+int64(unread), now
+	}
+	age = now.Sub(w.waitingSince(now))
+	return age, age >= w.patience
+}
+
+// endInSocket reports whether the body's last byte stands in the socket. filled is how much had been read before.
+func (w *arrivalWatch) endInSocket(filled int64) bool {
+	if !w.conn.RequestArrived() {
+		return false
+	}
+	after, blocked := w.stream.Blocked()
+	return blocked && after == filled // nothing was read meanwhile
+}
+
+// waitingSince returns since when the caller may have been waiting for its answer, although the body's end has not
+// arrived.
+func (w *arrivalWatch) waitingSince(now time.Time) time.Time {
+	length := w.stream.Length()
+	switch {
+	case length >= 0 && length-w.arrived > maxSenderBuffer:
+		w.heldSince = now // the caller must still be writing
+		return now
+	case length < 0 && w.arrived > maxSenderBuffer:
+		return w.movedAt // the caller must have been writing while the server took the beginning
 	}
-	return now.Sub(w.since)
+	return w.heldSince
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -106,7 +106,7 @@
 	}()
 	var f host.Final
 	gone := r.Context().Done()
-	arrival := newArrivalWatch(buffered.Stream(), callers.ConnOf(r))
+	arrival := newArrivalWatch(buffered.Stream(), callers.ConnOf(r), info.remaining)
 	defer arrival.ticker.Stop()
 	for open := true; open; {
 		select {
@@ -127,7 +127,8 @@
 			}
 			open = false
 		case <-arrival.ticker.C:
-			if age := arrival.age(time.Now()); age >= info.remaining {
+			if age, arrived := arrival.check(time.Now()); arrived {
+				arrival.ticker.Stop()
 				s.instance.Received(q, age)
 			}
 		case <-gone:
