Keep an upgrade's state reachable after its new process has died or hangs

Cause: a new process replaces the old one's socket. When it dies the name leads to nobody, the old process never listens again, and Connect takes the refused connection for a start without a running process.

Ruled out: the state (it has the bans), the old process's own record of them.

Change: a process listens anew at its successor's end. Each process holds a shared lock while it runs, and a new one that finds nobody listening tries again while the lock is held. Related: successors are served side by side (a hung one hid the state from the next), and bans are passed on to all other processes (between three, the outer ones did not hear of each other's).

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -281,3 +281,56 @@
 }
 
 func crc(payload []byte) uint32 { return crc32.Checksum(payload, crc32.MakeTable(crc32.Castagnoli)) }
+
+// TestConnectWaitsForARunningProcess guards against a start without the state of a running process that listens for no
+// successor at the moment, because the one it had has just ended.
+func TestConnectWaitsForARunningProcess(t *testing.T) {
+	dir := t.TempDir()
+	ended, err := Listen(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended.Close()
+	presence, err := ShowPresence(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	type result struct {
+		state *State
+		err   error
+	}
+	connected := make(chan result, 1)
+	connect := func() {
+		peer, state, err := Connect(dir, "n1")
+		if peer != nil {
+			peer.Close()
+		}
+		connected <- result{state, err}
+	}
+	go connect()
+	time.Sleep(5 * dialInterval) // the other process takes some time
+	serveAsOldProcess(t, dir, func(c net.Conn) {
+		Read(c)
+		Write(c, Message{Kind: StateReply, State: testState()})
+	})
+	if r := <-connected; r.err != nil || r.state == nil {
+		t.Errorf("%+v", r)
+	}
+	presence.Close()
+}
+
+// TestProcessThatNeverListensIsAnError: the log must tell that there is a process whose state was not taken over.
+func TestProcessThatNeverListensIsAnError(t *testing.T) {
+	dir := t.TempDir()
+	presence, err := ShowPresence(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if peer, _, err := Connect(dir, "n1"); peer != nil || !errors.Is(err, errNotListening) {
+		t.Errorf("%v, %v", peer, err)
+	}
+	presence.Close()
+	if peer, _, err := Connect(dir, "n1"); peer != nil || err != nil {
+		t.Errorf("after its end: %v, %v", peer, err)
+	}
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -19,6 +19,8 @@
 	requestTimeout = 500 * time.Millisecond
 	// writeTimeout bounds the write of one message to a peer that does not read.
 	writeTimeout = 500 * time.Millisecond
+	// dialInterval is the pause between two attempts to connect to the old process.
+	dialInterval = 10 * time.Millisecond
 )
 
 // Peer is a connection to the other process. Its methods may be called at any time.
@@ -120,9 +122,9 @@
 // Connect connects to the running process of the proxy and gets its state. It returns nil and no error if there is none.
 func Connect(dir, name string) (*Peer, *State, error) {
 	deadline := time.Now().Add(connectTimeout)
-	conn, err := net.DialTimeout("unix", socketPath(dir, name), connectTimeout)
-	if err != nil {
-		return nil, nil, nil // no socket, or one left by a process that has ended
+	conn, err := dial(dir, name, deadline)
+	if conn == nil {
+		return nil, nil, err
 	}
 	conn.SetDeadline(deadline)
 	if err = Write(conn, Message{Kind: Hello}); err == nil {
@@ -139,6 +141,37 @@
 	return nil, nil, fmt.Errorf("the running process: %w", err)
 }
 
+// errNotListening means that a process of the proxy runs and listens for no successor.
+var errNotListening = errors.New("the running process: listens for no successor")
+
+// dial connects to the process that listens for its successor. While none does although processes of the proxy run, it
+// tries again: a process listens anew after the end of its successor, which has replaced its socket. dial returns nil and
+// no error if no process runs.
+func dial(dir, name string, deadline time.Time) (net.Conn, error) {
+	for {
+		conn, err := net.DialTimeout("unix", socketPath(dir, name), time.Until(deadline))
+		if err == nil {
+			return conn, nil
+		}
+		if !anyRunning(dir, name) {
+			return nil, nil // no socket, or one left by a process that has ended
+		}
+		if time.Until(deadline) <= dialInterval {
+			return nil, errNotListening
+		}
+		time.Sleep(dialInterval)
+	}
+}
+
+// Reachable reports whether a process listens for its successor.
+func Reachable(dir, name string) bool {
+	conn, err := net.DialTimeout("unix", socketPath(dir, name), requestTimeout)
+	if err == nil {
+		conn.Close()
+	}
+	return err == nil
+}
+
 // Listen listens for the successor of this process. It replaces the socket of a process that listened there before, which
 // keeps its existing peers.
 func Listen(dir, name string) (*net.UnixListener, error) {
--- a/internal/proxy/consolehandler.go
+++ b/internal/proxy/consolehandler.go
@@ -68,7 +68,7 @@
 	known := p.host.SetBanned(id, banned)
 	joined := false
 	if p.upgrade != nil {
-		joined = p.upgrade.sendBan(ctx, id, banned)
+		joined = p.upgrade.sendBan(ctx, nil, id, banned)
 		known = joined || known
 	}
 	if !known {
--- a/internal/proxy/upgrade.go
+++ b/internal/proxy/upgrade.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"maps"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,14 +28,16 @@
 	mu          sync.Mutex
 	outgoing    handover.OldProcess
 	share       handover.Share
-	predecessor *handover.Peer // nil once it has ended
-	successor   *handover.Peer
+	peers       map[*handover.Peer]struct{} // the processes that this one is connected to
+	predecessor *handover.Peer              // nil once it has ended
+	successor   *handover.Peer              // the process that has requested the state last; nil if it has ended
 	listener    *net.UnixListener
+	presence    *handover.Presence // nil if it cannot be shown
 	closed      bool
 }
 
 func newUpgrade(p *Proxy, dir, name string) *upgrade {
-	return &upgrade{proxy: p, dir: dir, name: name, share: handover.FullShare}
+	return &upgrade{proxy: p, dir: dir, name: name, share: handover.FullShare, peers: map[*handover.Peer]struct{}{}}
 }
 
 // handsOver reports whether another process of the proxy may run at the same time.
@@ -54,6 +60,9 @@
 	if err != nil {
 		p.log.Warn("upgrade: nothing taken over, starting plainly", "error", err)
 	}
+	if u.presence, err = handover.ShowPresence(u.dir, u.name); err != nil {
+		p.log.Warn("upgrade: a new process may not find this one after an upgrade that failed", "error", err)
+	}
 	if peer == nil {
 		return false
 	}
@@ -69,6 +78,7 @@
 	p.log.Info("upgrade: going on where the running process is", "servers", len(state.Balancer.Servers),
 		"out_by_hand", len(state.Balancer.Banned), "open", len(state.OpenIDs))
 	u.predecessor = peer
+	u.peers[peer] = struct{}{}
 	u.setShare(handover.NewProcessShare(state.CallerConns, p.limits.softCallers))
 	return true
 }
@@ -82,13 +92,7 @@
 // start begins to wait for a successor, and notifies the predecessor that this process serves clients.
 func (u *upgrade) start() {
 	u.mu.Lock()
-	l, err := handover.Listen(u.dir, u.name)
-	if err != nil {
-		u.proxy.log.Warn("upgrade: a new process will start plainly beside this one", "error", err)
-	} else {
-		u.listener = l
-		u.running.Go(func() { u.acceptSuccessors(l) })
-	}
+	u.listen()
 	predecessor := u.predecessor
 	u.mu.Unlock()
 	if predecessor == nil {
@@ -100,6 +104,20 @@
 	}
 }
 
+// listen waits for a successor at the proxy's socket. It must be called with mu held.
+func (u *upgrade) listen() {
+	l, err := handover.Listen(u.dir, u.name)
+	if err != nil {
+		u.proxy.log.Warn("upgrade: a new process will start plainly beside this one", "error", err)
+		return
+	}
+	if u.listener != nil {
+		u.listener.Close() // a successor has replaced its socket
+	}
+	u.listener = l
+	u.running.Go(func() { u.acceptSuccessors(l) })
+}
+
 // servePredecessor handles the predecessor's messages until it has ended.
 func (u *upgrade) servePredecessor(predecessor *handover.Peer) {
 	err := predecessor.Serve(func(m handover.Message) {
@@ -115,6 +133,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.predecessor = nil
+	delete(u.peers, predecessor)
 	if u.closed {
 		return
 	}
@@ -123,8 +142,11 @@
 	u.proxy.log.Info("upgrade: the process before has gone", "last", err)
 }
 
+// applyBan carries out a ban of another process and passes it on: after overlapping upgrades, that process may not be
+// connected to all others.
 func (u *upgrade) applyBan(from *handover.Peer, m handover.Message) {
 	known := u.proxy.host.SetBanned(m.Server, m.Banned)
+	known = u.sendBan(context.Background(), from, m.Server, m.Banned) || known
 	if known {
 		if err := u.proxy.persistBan(context.Background(), m.Server, m.Banned, true); err != nil {
 			u.proxy.log.Error("by hand, at the other process: not on disk", "backend", m.Server, "error", err)
@@ -134,14 +156,15 @@
 	from.Send(handover.Message{Kind: handover.Done, Number: m.Number, Known: known})
 }
 
-// acceptSuccessors serves the processes that connect to take over from this one, one at a time.
+// acceptSuccessors serves the processes that connect to take over from this one. There may be several: a new process may
+// hang before it serves clients, and another one is started.
 func (u *upgrade) acceptSuccessors(l *net.UnixListener) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		u.serveSuccessor(conn)
+		u.running.Go(func() { u.serveSuccessor(conn) })
 	}
 }
 
@@ -149,6 +172,9 @@
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(helloTimeout))
 	m, err := handover.Read(conn)
+	if errors.Is(err, io.EOF) {
+		return // it has only asked whether this process is reachable
+	}
 	if err != nil || m.Kind != handover.Hello {
 		u.proxy.log.Warn("upgrade: rejected a connection without a valid hello", "error", err)
 		return
@@ -162,22 +188,39 @@
 		case handover.Ban:
 			u.applyBan(peer, m)
 		case handover.Ready:
-			u.mu.Lock()
-			u.outgoing.SuccessorReady()
-			u.mu.Unlock()
+			u.successorReady(peer)
 			u.proxy.log.Info("upgrade: the new process serves clients")
 			peer.Send(handover.Message{Kind: handover.Done, Number: m.Number})
 		}
 	})
+	u.successorGone(peer, err)
+}
+
+func (u *upgrade) successorReady(peer *handover.Peer) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.successor = nil
-	share := u.outgoing.SuccessorGone()
+	if u.successor == peer {
+		u.outgoing.SuccessorReady()
+	}
+}
+
+// successorGone handles the end of a successor. That may have replaced this process's socket by its own, which leads
+// nowhere now, so this process listens anew unless yet another one can be reached there.
+func (u *upgrade) successorGone(peer *handover.Peer, reason error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.peers, peer)
 	if u.closed {
 		return
 	}
-	u.setShare(share)
-	u.proxy.log.Warn("upgrade: the new process has gone", "last", err)
+	u.proxy.log.Warn("upgrade: the new process has gone", "last", reason)
+	if u.successor == peer {
+		u.successor = nil
+		u.setShare(u.outgoing.SuccessorGone())
+	}
+	if !handover.Reachable(u.dir, u.name) {
+		u.listen()
+	}
 }
 
 // sendState sends this process's state to a new process. It holds mu throughout, so that every operator override is either
@@ -202,6 +245,7 @@
 	}
 	conn.SetDeadline(time.Time{})
 	u.successor = peer
+	u.peers[peer] = struct{}{}
 	u.setShare(u.outgoing.StateRequested(state.CallerConns, p.limits.softCallers))
 	return true
 }
@@ -221,14 +265,14 @@
 	return true
 }
 
-// sendBan sends an operator's ban, or its lifting, to the other processes, and reports whether one of them knows the
-// server.
-func (u *upgrade) sendBan(ctx context.Context, server string, banned bool) (known bool) {
+// sendBan sends an operator's ban, or its lifting, to the other processes except the one that it came from, if any. It
+// reports whether one of them knows the server.
+func (u *upgrade) sendBan(ctx context.Context, from *handover.Peer, server string, banned bool) (known bool) {
 	u.mu.Lock()
-	peers := []*handover.Peer{u.predecessor, u.successor}
+	peers := slices.Collect(maps.Keys(u.peers))
 	u.mu.Unlock()
 	for _, peer := range peers {
-		if peer == nil {
+		if peer == from {
 			continue
 		}
 		done, err := peer.Request(ctx, handover.Message{Kind: handover.Ban, Server: server, Banned: banned})
@@ -248,12 +292,13 @@
 		if u.listener != nil {
 			u.listener.Close()
 		}
-		for _, peer := range []*handover.Peer{u.predecessor, u.successor} {
-			if peer != nil {
-				peer.Close()
-			}
+		for peer := range u.peers {
+			peer.Close()
 		}
 		u.mu.Unlock()
 		u.running.Wait()
+		if u.presence != nil {
+			u.presence.Close()
+		}
 	})
 }
