Watch callers also while a pipelined request is open

What callers saw: a client sends many requests at once, reads some answers and closes its sending side while its system still holds the rest.

Cause: nothing read the connection while a later pipelined request was open, so its end was not seen. net/http reports no change of state for a request that it has read together with the one before it; buffered bytes ended its watch at once; and it does not watch a caller of which it holds an unused byte.

Ruled out: the question to the kernel right before a send. It is asked, but the end stands behind unread bytes in the client's system.

Change: while a request is open, what its caller sends is read and kept from net/http until the answer. A request counts as open once its head has been read; before, its connection could be closed like an idle one.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -161,18 +161,20 @@
 	if _, open := c.open[k]; !open || k.state == state {
 		return
 	}
+	if state == http.StateActive {
+		c.activate(k)
+		return
+	}
 	if k.state == http.StateActive {
 		c.active--
 	}
 	k.state = state
 	now := time.Now()
 	switch {
-	case state == http.StateActive:
-		c.active++
-		k.requests++
-		c.setKind(k, kindBusy, now)
 	case state != http.StateIdle:
-	case !k.framing.atMessageBoundary():
+	case k.framing.requestPending():
+		c.setKind(k, kindBusy, now) // net/http has read the next request together with the last one
+	case !k.framing.atMessageBoundary() || len(k.buffered) > 0:
 		c.setKind(k, kindPartial, now) // the next request has begun right after the last one
 	case k.requests <= 1:
 		c.setKind(k, kindOnce, now)
@@ -181,6 +183,25 @@
 	}
 }
 
+// beginRequest records that a connection's next request is served. net/http does not report that by a change of state if
+// it has read the request together with the one before it. Without this, such a request would count as none: its
+// connection could be closed like an idle one, and nothing would be read that tells that its caller has left.
+func (c *Set) beginRequest(k *Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, open := c.open[k]; open && k.state != http.StateActive {
+		c.activate(k)
+	}
+}
+
+// activate records that a connection has an open request. c.mu must be held.
+func (c *Set) activate(k *Conn) {
+	k.state = http.StateActive
+	c.active++
+	k.requests++
+	c.setKind(k, kindBusy, time.Now())
+}
+
 // OverSoftLimit reports whether more requests are open than the soft limit allows connections.
 func (c *Set) OverSoftLimit() bool {
 	c.mu.Lock()
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -35,6 +35,7 @@
 func request(s *Set, k *Conn) {
 	k.framing.feed([]byte("GET / HTTP/1.1\r\n\r\n"))
 	s.Track(k, http.StateActive)
+	k.BeginRequest()
 	s.Track(k, http.StateIdle)
 }
 
@@ -131,6 +132,7 @@
 	k, d := admit(t, s)
 	k.framing.feed([]byte("GET / HTTP/1.1\r\n\r\nGET /next"))
 	s.Track(k, http.StateActive)
+	k.BeginRequest()
 	s.Track(k, http.StateIdle)
 	if left := s.CloseIdle(0); left != 1 || d.closed {
 		t.Error("the connection was closed although another request had begun on it")
@@ -170,3 +172,33 @@
 		})
 	}
 }
+
+// TestPipelinedRequestKeepsItsConnection guards against a request that is read and never answered: net/http has read it
+// together with the one before it and reports no change of state for it, so its connection looked idle.
+func TestPipelinedRequestKeepsItsConnection(t *testing.T) {
+	s := NewSet(1, 1, time.Hour)
+	k, stub := admit(t, s)
+	const head = "GET / HTTP/1.1\r\n\r\n"
+	k.framing.feed([]byte(head + head))
+	s.Track(k, http.StateActive)
+	k.BeginRequest()
+	s.Track(k, http.StateIdle)
+	for _, moment := range []string{"before the second request begins", "while it is open"} {
+		if s.CloseIdle(0); stub.closed {
+			t.Fatalf("closed %s", moment)
+		}
+		if s.admit(&stubConn{}) != nil || stub.closed {
+			t.Fatalf("evicted %s", moment)
+		}
+		if moment == "before the second request begins" {
+			k.BeginRequest()
+		}
+	}
+	if k.state != http.StateActive {
+		t.Error("the second request does not count as open")
+	}
+	s.Track(k, http.StateIdle)
+	if s.CloseIdle(0); !stub.closed {
+		t.Error("the idle connection stays open")
+	}
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -61,27 +61,25 @@
 	return nil
 }
 
-// busy reports whether a request is open.
+// busy reports whether a request is open, or has been read and is about to be.
 func (k *Conn) busy() bool {
 	k.set.mu.Lock()
 	defer k.set.mu.Unlock()
 	return k.kind == kindBusy
 }
 
-// serving reports whether a request is open that has been read whole.
-func (k *Conn) serving() bool {
+// evicted reports whether the connection was closed on this side.
+func (k *Conn) evicted() bool {
 	k.set.mu.Lock()
 	defer k.set.mu.Unlock()
-	return k.state == http.StateActive
+	return k.closed
 }
 
 // Gone reports whether the caller has closed its sending side or its connection according to the kernel, however
 // much has been read so far, or whether the connection was closed on this side after its request was read. It does
 // not block. If the kernel gives no answer, it returns false.
 func (k *Conn) Gone() (gone bool) {
-	k.set.mu.Lock()
-	gone = k.closed
-	k.set.mu.Unlock()
+	gone = k.evicted()
 	if gone || k.raw == nil {
 		return gone
 	}
@@ -158,9 +156,15 @@
 	return age
 }
 
+// Buffered returns the number of bytes that have been read from a hijacked connection and not been passed on.
+func (k *Conn) Buffered() int { return len(k.buffered) }
+
 // BeginRequest records that a request is passed to the handler, and returns how it is framed. It must be called once for
 // each request, before its body is read.
-func (k *Conn) BeginRequest() framing.Kind { return k.framing.beginRequest() }
+func (k *Conn) BeginRequest() framing.Kind {
+	k.set.beginRequest(k)
+	return k.framing.beginRequest()
+}
 
 // Folded reports whether a header field in any head so far was continued on the next line.
 func (k *Conn) Folded() bool { return k.framing.folded() }
--- a/internal/callers/read.go
+++ b/internal/callers/read.go
@@ -25,6 +25,9 @@
 // single byte to detect that the caller has gone. That read alone would not detect a caller that sends its next
 // request and then disconnects, and its open request would still be served.
 func (k *Conn) read(b []byte) (int, error) {
+	if len(b) == 1 && k.busy() {
+		return 0, k.watchCaller()
+	}
 	if len(k.buffered) > 0 {
 		n := copy(b, k.buffered)
 		k.buffered = k.buffered[n:]
@@ -35,17 +38,7 @@
 	if k.overflowed {
 		return 0, io.EOF
 	}
-	n, err := k.readSocket(b)
-	if n != 1 || len(b) != 1 || err != nil || !k.serving() {
-		return n, err
-	}
-	k.buffered = append(k.buffered, b[0])
-	if err := k.readAhead(); err != nil {
-		return 0, err
-	}
-	n = copy(b, k.buffered)
-	k.buffered = k.buffered[n:]
-	return n, nil
+	return k.readSocket(b)
 }
 
 // readSocket reads from the socket. While a request is open, nothing else closes the connection, so that read needs
@@ -128,28 +121,49 @@
 	return n, err
 }
 
-// readAhead continues to read after a first byte, until the caller closes the connection, which it returns as an
-// error, or until the request is answered and net/http interrupts the read. Bytes beyond maxReadAhead are dropped,
-// and the connection is closed once the open request is answered: no caller that waits for answers sends that much,
-// and the end of a connection is only detected after everything before it has been read.
+// watchCaller reads and buffers what a caller sends while its request is open, until the caller closes the connection, or
+// until the request is answered and net/http interrupts the read. It returns an error in either case. net/http gets none
+// of the bytes yet: it watches no caller of which it has a byte that it cannot use, and would not detect that one leaves
+// while a later request is open.
+//
+// Bytes beyond maxReadAhead are dropped, and the connection is closed once the requests before them are answered: no
+// caller that waits for answers sends that much, and the end of a connection is only detected after everything before it
+// has been read.
 //
 // It prevents work for callers that sent more and then disconnected. It would harm a caller that sends over
 // maxReadAhead of further requests at once and does not repeat those that are unanswered when the connection ends.
+func (k *Conn) watchCaller() error {
+	var first [1]byte // most callers send nothing; a larger buffer is only needed for those that do
+	n, err := k.Conn.Read(first[:])
+	k.buffer(first[:n])
+	if k.evicted() {
+		err = net.ErrClosed
+	}
+	if err == nil {
+		err = k.readAhead()
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		k.buffered = nil // the answer would not reach anyone
+	}
+	return err
+}
+
+// readAhead reads and buffers until an error, which it returns.
 func (k *Conn) readAhead() error {
 	var chunk [4 << 10]byte
 	for {
 		n, err := k.Conn.Read(chunk[:])
-		if free := maxReadAhead - len(k.buffered); n > free {
-			n, k.overflowed = free, true
-		}
-		k.buffered = append(k.buffered, chunk[:n]...)
-		switch {
-		case err == nil:
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil
-		default:
-			k.buffered = nil // the answer would not reach anyone
+		k.buffer(chunk[:n])
+		if err != nil {
 			return err
 		}
 	}
 }
+
+// buffer appends to the buffered bytes, and drops what exceeds maxReadAhead.
+func (k *Conn) buffer(b []byte) {
+	if free := maxReadAhead - len(k.buffered); len(b) > free || k.overflowed {
+		b, k.overflowed = b[:min(free, len(b))], true
+	}
+	k.buffered = append(k.buffered, b...)
+}
--- a/internal/callers/requestframing.go
+++ b/internal/callers/requestframing.go
@@ -42,6 +42,13 @@
 	return f.tracker.AtMessageBoundary()
 }
 
+// requestPending reports whether the head of a request that the handler has not got yet has been read to its end.
+func (f *requestFraming) requestPending() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Message(f.begun+1) != framing.Unknown
+}
+
 // current returns the number of the request that was passed to the handler last, and the tracker as it is now.
 func (f *requestFraming) current() (int, framing.Tracker) {
 	f.mu.Lock()
--- a/internal/front/upgrade.go
+++ b/internal/front/upgrade.go
@@ -118,7 +118,7 @@
 	if !ok {
 		return errors.New("connection is not TCP")
 	}
-	if rw.Reader.Buffered() > 0 {
+	if rw.Reader.Buffered() > 0 || callerConn.Buffered() > 0 {
 		text := errEarlyData.Error()
 		fmt.Fprintf(conn, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 		return errEarlyData
--- a/internal/proxy/pipelining_test.go
+++ b/internal/proxy/pipelining_test.go
@@ -50,6 +50,55 @@
 	}
 }
 
+// noticeTime is how long the proxy may take to notice that a caller has left.
+const noticeTime = 100 * time.Millisecond
+
+// TestCallerLeavesDuringALaterPipelinedRequest: a caller sends many requests at once, reads some answers and leaves, while
+// its system still holds much of what it has sent, and so the end of the connection. net/http has read the open request
+// together with the ones before it. None of the further requests may be forwarded.
+func TestCallerLeavesDuringALaterPipelinedRequest(t *testing.T) {
+	t.Parallel()
+	const answered, flood = 3, 10_000
+	for way, leave := range leaveActions {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			open := fmt.Sprint("r", answered)
+			left := make(chan struct{})
+			b := newBackend(t, "127.0.0.1:0", func(id string) string {
+				if id == open {
+					<-left
+				}
+				return idAnswer(id)
+			})
+			g := newTestProxy(t, nil, entry("s1", b.address, "up"))
+			c := g.dial()
+			var all strings.Builder
+			for n := range flood {
+				all.WriteString(head(fmt.Sprint("r", n)))
+			}
+			if _, err := c.Write([]byte(all.String())); err != nil { // the caller's own system takes most of it
+				t.Fatal(err)
+			}
+			for n := range answered {
+				if status, text := c.answer(); status != 200 || text != fmt.Sprint("r", n) {
+					t.Fatalf("%d: %d %q", n, status, text)
+				}
+			}
+			for id := ""; id != open; id = await(t, "the open request", b.requests) {
+			}
+			leave(c)
+			time.Sleep(noticeTime)
+			close(left)
+			for g.callers.Len() > 0 { // until the connection is closed
+				time.Sleep(time.Millisecond)
+			}
+			if n := len(b.requests); n != 0 {
+				t.Errorf("%d requests were forwarded for a caller that has left, the first %s", n, <-b.requests)
+			}
+		})
+	}
+}
+
 // openFirst returns a caller whose first request is open at a backend. The backend answers it once hold is closed, and
 // other requests at once.
 func openFirst(t *testing.T) (c *testCaller, b *backend, hold chan struct{}) {
