Retain the ids of requests that may have run after their client has left

Cause: an id was free again as soon as its connection had ended, while the attempt could still have its effect.

Change: the claim on an id of a keyed or unsafe class is kept for a minute if an attempt may have run, in the table that the processes share. Such an id is answered 409. Ids whose attempts never ran may come again, since a client sends a request once more that crossed the close of its connection; so may ids of classes that are safe to repeat.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -86,7 +86,7 @@
 	}
 	info.open = s.begin(info.id)
 	if info.open == nil {
-		s.reject(w, info, http.StatusConflict, fmt.Errorf("%s: a request with this id is open", IDField))
+		s.reject(w, info, http.StatusConflict, fmt.Errorf("%s: a request with this id is open or may have run: send a new id", IDField))
 		return
 	}
 	defer s.finish(info)
@@ -154,7 +154,8 @@
 	if buffered.Stream() == nil {
 		remaining -= sinceLastData(r)
 	}
-	return s.instance.Submit(callerOf(r), newMessage(r, info.class, buffered), info.class, info.tenant, remaining, s.restart.RequestTimeCap(remaining))
+	info.open.submitted = s.instance.Submit(callerOf(r), newMessage(r, info.class, buffered), info.class, info.tenant, remaining, s.restart.RequestTimeCap(remaining))
+	return info.open.submitted
 }
 
 // sinceLastData returns how long ago a request's last bytes arrived, or 0 if this is not known.
@@ -178,13 +179,19 @@
 	host.Served: figures.Served, host.Refused: figures.Refused, host.Failed: figures.Failed,
 }
 
+// retainTime is how long an ID is rejected after its request may have had an effect that must not be repeated. A caller
+// that has left may send it again.
+const retainTime = time.Minute
+
 // openRequest is a request from begin until finish.
 type openRequest struct {
-	id    string
-	claim claims.Claim
+	id        string
+	claim     claims.Claim
+	submitted *host.Request // nil before it is submitted
 }
 
-// begin records a request's ID until finish is called. It returns nil if the ID is in use.
+// begin records a request's ID until finish is called. It returns nil if the ID is in use, or if a request that must not
+// be repeated may have run under it.
 func (s *Front) begin(id string) *openRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -223,7 +230,12 @@
 // finish ends what begin has recorded.
 func (s *Front) finish(info requestInfo) {
 	o := info.open
-	o.claim.Release()
+	repeatable := s.classConfigs[info.class].Effect == balance.Idempotent
+	if o.submitted == nil || repeatable || !s.instance.MayHaveRun(o.submitted) {
+		o.claim.Release()
+	} else {
+		o.claim.Retain(retainTime)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.openIDs, o.id)
--- a/internal/front/upgrade.go
+++ b/internal/front/upgrade.go
@@ -50,7 +50,8 @@
 	defer s.figures.RequestEnded()
 	m := newMessage(r, info.class, nil)
 	m.Offer = offer
-	f := s.await(r, s.instance.Submit(callerOf(r), m, info.class, info.tenant, info.remaining, s.restart.RequestTimeCap(info.remaining)))
+	info.open.submitted = s.instance.Submit(callerOf(r), m, info.class, info.tenant, info.remaining, s.restart.RequestTimeCap(info.remaining))
+	f := s.await(r, info.open.submitted)
 	if f.Outcome != host.Served {
 		s.channels.OpenFailed(admission)
 		if f.Outcome == host.Refused {
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -116,6 +117,13 @@
 	i.removeIfDone(q)
 }
 
+// MayHaveRun reports whether an attempt of a request may have run at a backend, or may still run.
+func (i *Instance) MayHaveRun(q *Request) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.dispatched && !a.neverRan })
+}
+
 // answer sets a request's final answer and reports whether it did. Only the first call has an effect.
 func (q *Request) answer(f Final) bool {
 	if q.answered {
