Tests of upgrades: ids that are new with every request, as the protocol demands

TestNewProcessThatDies fails since the ids of unsafe requests are retained: its second load of callers sends the ids of the first one again, which were served, and gets 409 for 104 to 115 of 200. Each load has ids of its own now; the test asserts the same as before.

Measured: the tests of upgrades, bans and metrics of internal/proxy pass with -race.

--- a/internal/proxy/upgrade_test.go
+++ b/internal/proxy/upgrade_test.go
@@ -109,10 +109,14 @@
 	all          sync.WaitGroup
 }
 
+// callerLoads counts the loads: the protocol demands an id that is new with every request.
+var callerLoads atomic.Int64
+
 func newCallerLoad(t *testing.T, address string, callers int) *callerLoad {
 	c := &callerLoad{address: address, stop: make(chan struct{})}
+	load := callerLoads.Add(1)
 	for n := range callers {
-		c.all.Go(func() { c.run(fmt.Sprint("c", n)) })
+		c.all.Go(func() { c.run(fmt.Sprint("load", load, "-", n)) })
 	}
 	t.Cleanup(c.end)
 	return c
