Limit the fields of a head, whose memory its bytes do not bound

Cause: max_head bounds a head's bytes, but a parsed field takes over 100 bytes, however short it is: 260 KiB for a head of 2,500 fields.

Ruled out: bodies, answers and sockets' buffers, of which these clients have none; a smaller max_head would hit heads of a few long fields.

Change: the tracker of the connection counts fields before net/http gets the bytes. Related: answers of backends.

--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -200,6 +200,8 @@
 	if n > 0 {
 		c.framing.Feed(b[:n])
 		switch {
+		case c.framing.TooManyFields():
+			return 0, errTooManyFields
 		case c.framing.InterimCount() > maxInterim:
 			return 0, errTooManyInterim
 		case c.framing.AfterInterim():
--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -35,6 +35,7 @@
 	errNoSockets      = errors.New("all backend sockets are in use")
 	errUnsolicited    = errors.New("unsolicited bytes from the backend")
 	errTooManyInterim = errors.New("too many interim responses")
+	errTooManyFields  = fmt.Errorf("more than %d header fields in the response", framing.MaxFields)
 	errFraming        = errors.New("the end of the response cannot be determined")
 )
 
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -22,6 +22,7 @@
 	framing     requestFraming
 	buffered    []byte          // read from the socket and not yet returned by Read; used by the reading goroutine only
 	overflowed  bool            // the caller sent more than maxReadAhead; used by the reading goroutine only
+	rejected    bool            // a head with too many fields has been answered; used by the reading goroutine only
 	acceptDelay time.Duration   // before the connection was accepted; used by the reading goroutine only
 	raw         syscall.RawConn // nil if the connection has no socket
 
--- a/internal/callers/requestframing.go
+++ b/internal/callers/requestframing.go
@@ -15,11 +15,17 @@
 	begun   int // number of requests passed to the handler
 }
 
-// feed processes the next bytes read.
-func (f *requestFraming) feed(b []byte) {
+// feed processes the next bytes read, and returns how many of them belong to messages within the limits.
+func (f *requestFraming) feed(b []byte) (accepted int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tracker.Feed(b)
+	return f.tracker.Feed(b)
+}
+
+func (f *requestFraming) tooManyFields() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.TooManyFields()
 }
 
 // beginRequest counts a request and returns how it is framed.
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -32,6 +32,8 @@
 	afterInterim         bool         // the last header section was that of a 1xx response
 	stopped              bool         // tracking has stopped
 	chunks               chunkScanner // of the message at which it has stopped, if that is Chunked
+	fields               int          // number of fields of the current header section so far
+	tooManyFields        bool         // a header section has more than MaxFields
 	folded               bool         // a header field was continued on the next line
 }
 
@@ -51,14 +53,20 @@
 	codingField = []byte("transfer-encoding")
 )
 
-// Feed processes the next bytes received.
-func (f *Tracker) Feed(b []byte) {
-	for len(b) > 0 {
+// MaxFields is the most fields that a header section may have. A parsed field takes over 100 bytes, however short it is,
+// so a limit on the bytes of a header section does not bound its memory.
+const MaxFields = 128
+
+// Feed processes the next bytes received, and returns how many of them belong to messages within the limits: all of them,
+// unless a header section has more than MaxFields fields. Nothing is processed after that.
+func (f *Tracker) Feed(b []byte) (accepted int) {
+	size := len(b)
+	for len(b) > 0 && !f.tooManyFields {
 		if f.stopped {
 			if f.last == Chunked {
 				f.chunks.feed(b)
 			}
-			return
+			return size
 		}
 		if f.bodyLeft > 0 {
 			n := min(f.bodyLeft, int64(len(b)))
@@ -73,14 +81,18 @@
 		}
 		f.lineLen += copy(f.line[f.lineLen:], part)
 		if end < 0 {
-			return
+			return size
 		}
 		b = b[end+1:]
 		f.endLine(bytes.TrimSuffix(f.line[:f.lineLen], []byte("\r")))
 		f.lineLen = 0
 	}
+	return size - len(b)
 }
 
+// TooManyFields reports whether a header section has more than MaxFields fields.
+func (f *Tracker) TooManyFields() bool { return f.tooManyFields }
+
 func (f *Tracker) endLine(line []byte) {
 	if len(line) == 0 {
 		if f.inHead { // net/http rejects an empty line before a start line
@@ -96,6 +108,10 @@
 		f.isInterim = bytes.HasPrefix(line, []byte("HTTP/1.1 1"))
 		return
 	}
+	if f.fields++; f.fields > MaxFields {
+		f.tooManyFields = true
+		return
+	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch name = bytes.TrimSpace(name); {
 	case bytes.EqualFold(name, lengthField):
@@ -119,7 +135,7 @@
 		f.messages++
 		f.last = f.headKind()
 	}
-	f.inHead, f.isInterim, f.hasLength, f.hasCoding, f.length = false, false, false, false, 0
+	f.inHead, f.isInterim, f.hasLength, f.hasCoding, f.length, f.fields = false, false, false, false, 0, 0
 }
 
 // headKind returns the framing that the current header section determines.
