Reserve in the budget what is read ahead of long bodies

Cause: the budget for bodies was asked only for what is kept for another attempt. The 64 KiB read ahead of a server were not counted, nor the 64 KiB of a body in chunks that are read before it turns out to be long.

Change: a stream reserves its window, now 32 KiB, for as long as it exists, and what was read before it until it is passed on. Where nothing is left the body is refused with 503, as shorter ones were. A test of the package consumes its stream now, which holds the bytes read before it; it checks them as well.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -2,7 +2,6 @@
 package body
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -87,7 +86,10 @@
 	case length > MaxBytes:
 		return nil, nil, ErrTooLarge
 	case length > MaxBufferedBytes:
-		return &Body{stream: NewStream(length, budget)}, r, nil
+		if !budget.reserve(windowBytes) {
+			return nil, nil, ErrNoMemory
+		}
+		return &Body{stream: newReservedStream(length, budget, nil, windowBytes)}, r, nil
 	}
 	limit := length
 	if limit < 0 {
@@ -102,8 +104,7 @@
 		return nil, nil, fmt.Errorf("body: %w", err)
 	}
 	if !complete {
-		budget.release(limit)
-		return &Body{stream: NewStream(-1, budget)}, io.MultiReader(bytes.NewReader(data), r), nil
+		return &Body{stream: newReservedStream(-1, budget, data, limit)}, r, nil
 	}
 	budget.release(limit - int64(len(data)))
 	return &Body{data: data, budget: budget}, nil, nil
--- a/internal/body/stream.go
+++ b/internal/body/stream.go
@@ -8,10 +8,12 @@
 
 const (
 	// segmentBytes is the size of the segments in which a stream holds its bytes.
-	segmentBytes = 32 << 10
+	segmentBytes = 16 << 10
 	// readAheadSegments is how far a stream reads ahead of its reader, in segments. Bytes that are read ahead when the
 	// sender's last byte arrives still have to be sent within the request's time.
 	readAheadSegments = 2
+	// windowBytes is what a stream reserves in the budget for as long as it exists.
+	windowBytes = readAheadSegments * segmentBytes
 	// MaxReplayBytes is how much of a stream is kept for another attempt, if the budget allows it.
 	MaxReplayBytes = 1 << 20
 )
@@ -39,7 +41,9 @@
 	base       int64     // offset of the first segment
 	filled     int64
 	consumed   int64 // highest offset that a reader has reached
-	reserved   int64 // bytes reserved in the budget
+	reserved   int64 // bytes reserved in the budget for segments beyond those that are read ahead
+	held       int64 // bytes reserved for those that are read ahead, and for prefix
+	prefix     []byte
 	discarding bool
 	complete   bool  // all bytes have arrived
 	err        error // why no more bytes will arrive
@@ -53,6 +57,14 @@
 	return s
 }
 
+// newReservedStream is like NewStream, for a body whose first bytes have been read already. held is what has been reserved
+// for it, and at least the length of prefix and windowBytes.
+func newReservedStream(length int64, budget *Budget, prefix []byte, held int64) *Stream {
+	s := NewStream(length, budget)
+	s.prefix, s.held = prefix, held
+	return s
+}
+
 // Length returns the body's announced length, or -1.
 func (s *Stream) Length() int64 { return s.length }
 
@@ -64,7 +76,7 @@
 		if err != nil {
 			return err
 		}
-		n, err := r.Read(buffer)
+		n, err := s.read(r, buffer)
 		s.mu.Lock()
 		if last := len(s.segments) - 1; last >= 0 { // there are none after Release
 			s.segments[last] = s.segments[last][:len(s.segments[last])+n]
@@ -89,6 +101,31 @@
 	}
 }
 
+// read reads the bytes that were read before the stream was made, and then those of r. It reduces the reservation to
+// windowBytes once the former have been read.
+func (s *Stream) read(r io.Reader, buffer []byte) (int, error) {
+	s.mu.Lock()
+	if len(s.prefix) == 0 {
+		s.mu.Unlock()
+		return r.Read(buffer)
+	}
+	defer s.mu.Unlock()
+	n := copy(buffer, s.prefix)
+	if s.prefix = s.prefix[n:]; len(s.prefix) == 0 {
+		s.prefix = nil
+		s.release(s.held - windowBytes)
+	}
+	return n, nil
+}
+
+// release returns a part of the reservation for what is read ahead. s.mu must be held.
+func (s *Stream) release(n int64) {
+	if n > 0 && n <= s.held { // nothing is held any more after Release
+		s.held -= n
+		s.budget.release(n)
+	}
+}
+
 // nextBuffer waits until more may be read, and returns the buffer to read into.
 func (s *Stream) nextBuffer() ([]byte, error) {
 	s.mu.Lock()
@@ -164,9 +201,9 @@
 	s.CloseWithError(ErrStreamClosed)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.segments = nil
-	s.budget.release(s.reserved)
-	s.reserved = 0
+	s.segments, s.prefix = nil, nil
+	s.budget.release(s.reserved + s.held)
+	s.reserved, s.held = 0, 0
 }
 
 // EndAttempt closes the reader of an attempt that has ended. It reports whether the stream can no longer be read from
--- a/internal/body/stream_test.go
+++ b/internal/body/stream_test.go
@@ -69,7 +69,12 @@
 				t.Errorf("%d bytes were read as %d", c.size, len(b.Data()))
 			}
 		} else {
-			b.Stream().Fill(bytes.NewReader(nil))
+			var filling sync.WaitGroup
+			filling.Go(func() { b.Stream().Fill(rest) })
+			if out, _, err := readAll(b.Stream().Reader()); err != nil || !bytes.Equal(in, out) {
+				t.Errorf("%d bytes, announced %d: %d arrived, %v", c.size, c.length, len(out), err)
+			}
+			filling.Wait()
 		}
 		b.Release()
 		if left := budget.available.Load(); left != 1<<20 {
@@ -272,3 +277,33 @@
 		}
 	}
 }
+
+// TestMemoryOfStreamsIsReserved guards against a process that is killed for its memory: hundreds of callers send long bodies
+// slowly, and what is read ahead of each one is held.
+func TestMemoryOfStreamsIsReserved(t *testing.T) {
+	for _, length := range []int64{MaxBufferedBytes + 1, -1} {
+		const streams = 3
+		in := randomBytes(MaxBufferedBytes + 1)
+		budget := NewBudget(streams * MaxBufferedBytes)
+		var all []*Body
+		for {
+			b, _, err := Read(bytes.NewReader(in), length, budget)
+			if err != nil {
+				if !errors.Is(err, ErrNoMemory) {
+					t.Error(err)
+				}
+				break
+			}
+			all = append(all, b)
+		}
+		if most := streams * MaxBufferedBytes / windowBytes; len(all) < streams || len(all) > most {
+			t.Errorf("announced %d: %d streams fit, want %d to %d", length, len(all), streams, most)
+		}
+		for _, b := range all {
+			b.Release()
+		}
+		if left := budget.available.Load(); left != streams*MaxBufferedBytes {
+			t.Errorf("announced %d: %d bytes are not returned", length, streams*MaxBufferedBytes-left)
+		}
+	}
+}
