Let servers pause within a long answer of which nothing is passed on yet

Cause: answer_timeout (0.4 s) ends any answer that stalls before any of it is passed on. A long one may be written slowly, and a request that must not run twice has no other attempt.

Ruled out: stream_silence and slow readers; with a pause further on the same answers come whole. Answers without length and chunks keep the limit: noise behind a head looks the same, and a test of the project asserts it.

Change: answers with a length over 64 KiB, and those in chunks after their first bytes, have no such limit; the attempt's deadline ends them.

--- a/internal/backends/exchange.go
+++ b/internal/backends/exchange.go
@@ -210,14 +210,15 @@
 	case resp.ContentLength > body.MaxBytes:
 		return nil, false, body.ErrTooLarge
 	case resp.ContentLength < 0 && resp.TransferEncoding == nil:
-		// It is buffered to its end, up to MaxBufferedBytes, before any of it is forwarded: garbage after a response
-		// head looks the same, and does not end.
+		// It is buffered to its end, up to MaxBufferedBytes, before any of it is forwarded, and may not pause for longer
+		// than Options.AnswerTimeout: garbage after a response head looks the same, and does not end.
 		data, whole, err = body.ReadAtMost(resp.Body, body.MaxBufferedBytes, func() bool { return true })
 		if err != nil {
 			return nil, false, fmt.Errorf("answer: %w", err)
 		}
 		return data, whole, nil
 	case resp.ContentLength > body.MaxBufferedBytes:
+		c.startStreaming()
 		data = make([]byte, firstBytes)
 		n, err := resp.Body.Read(data)
 		if n == 0 {
@@ -233,13 +234,26 @@
 		return data, true, err
 	}
 	begun := time.Now()
-	data, whole, err = body.ReadAtMost(resp.Body, body.MaxBufferedBytes, func() bool { return time.Since(begun) < streamAfter })
+	data, whole, err = body.ReadAtMost(resp.Body, body.MaxBufferedBytes, c.letBodyPause(func() bool { return time.Since(begun) < streamAfter }))
 	if err != nil {
 		return nil, false, fmt.Errorf("answer: %w", err)
 	}
 	return data, whole, nil
 }
 
+// letBodyPause returns a function for body.ReadAtMost that ends the limit of Options.AnswerTimeout once the first bytes of
+// a body in chunks have arrived, and asks keepReading. The answer may be a long one that its backend writes slowly; no other
+// attempt may be allowed, and the attempt's deadline still applies.
+func (c *conn) letBodyPause(keepReading func() bool) func() bool {
+	reads := 0
+	return func() bool {
+		if reads++; reads == 2 {
+			c.startStreaming()
+		}
+		return keepReading()
+	}
+}
+
 // firstBytes is the size of the buffer for the first read of a long response, before any of it is forwarded.
 const firstBytes = 4 << 10
 
