Count the time for which a body was held up when its end arrives

What callers saw: none yet; a test of the project found it. The answer to a chunked or plain body of 140 KiB, before a server that reads nothing for 1 s, came 3.0 s after its last byte was written, where the client waits for 2 s.

Cause: where the end of a body stands in the client's own system, the request's time began when the end was read, and only a hold-up of the client's whole wait counted.

Change: if the body was held up until its end arrived, the time begins with the hold-up, as it does where the end does not arrive at all.

--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -28,9 +28,10 @@
 	ticker   *time.Ticker  // tells when to call check
 	patience time.Duration // how long the caller waits for its answer
 
+	held      bool // bytes stood in the socket at the last check that the server was too slow for
 	arrived   int64
 	movedAt   time.Time // when arrived has changed, or the body was last being read
-	heldSince time.Time // since when bytes stand in the socket that the server is too slow for
+	heldSince time.Time // since when that has been so at each check
 }
 
 // newArrivalWatch returns a watch whose ticker must be stopped.
@@ -49,9 +50,9 @@
 	filled, blocked := w.stream.Blocked()
 	unread, ok := w.conn.Unread()
 	if ok && blocked && w.endInSocket(filled) {
-		return w.conn.SinceLastData(), true
+		return max(w.conn.SinceLastData(), w.heldUp(now)), true
 	}
-	if !ok || !blocked || unread == 0 {
+	if w.held = ok && blocked && unread > 0; !w.held {
 		w.movedAt, w.heldSince = now, now
 		return 0, false
 	}
@@ -71,6 +72,15 @@
 	return blocked && after == filled // nothing was read meanwhile
 }
 
+// heldUp returns how long the body has been held up until now. If its end arrives then, the caller may have written it when
+// that began.
+func (w *arrivalWatch) heldUp(now time.Time) time.Duration {
+	if !w.held {
+		return 0
+	}
+	return now.Sub(w.waitingSince(now))
+}
+
 // waitingSince returns since when the caller may have been waiting for its answer, although the body's end has not
 // arrived.
 func (w *arrivalWatch) waitingSince(now time.Time) time.Time {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -116,7 +116,7 @@
 			filled = nil
 			if err == nil {
 				control.SetReadDeadline(time.Time{})
-				s.instance.Received(q, sinceLastData(r))
+				s.instance.Received(q, max(sinceLastData(r), arrival.heldUp(time.Now())))
 				continue
 			}
 			s.instance.Drop(q)
