--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -216,7 +216,9 @@
 // startStreaming marks the connection as forwarding a message while it arrives.
 func (c *conn) startStreaming() {
 	c.pool.mu.Lock()
-	c.streamIdleTimeout = c.pool.options.StreamIdleTimeout
+	if !c.streaming.Load() { // otherwise the request is streamed, and the writing goroutine uses the timeout
+		c.streamIdleTimeout = c.pool.options.StreamIdleTimeout
+	}
 	c.answerDeadline = time.Time{}
 	c.pool.mu.Unlock()
 	c.streaming.Store(true)
