Let a burst of refusals pass unpaced on each connection

Change: 200 such answers may follow each other, more than the requests that a connection reads ahead; beyond that they are 10 ms apart on average.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -23,10 +23,11 @@
 	buffered   []byte // read from the socket and not yet returned by Read; used by the reading goroutine only
 	overflowed bool   // the caller sent more than maxReadAhead; used by the reading goroutine only
 	rejected   bool   // a head with too many fields has been answered; used by the reading goroutine only
-	// lastLocalAnswer is when the last answer was given for which no backend was asked; used by the handler only.
-	lastLocalAnswer time.Time
-	acceptDelay     time.Duration   // before the connection was accepted; used by the reading goroutine only
-	raw             syscall.RawConn // nil if the connection has no socket
+	// localAnswerDue is when the last answer for which no backend was asked was due, at the pace for such answers; used by
+	// the handler only.
+	localAnswerDue time.Time
+	acceptDelay    time.Duration   // before the connection was accepted; used by the reading goroutine only
+	raw            syscall.RawConn // nil if the connection has no socket
 
 	// The following fields are guarded by set.mu.
 	state       http.ConnState
@@ -159,17 +160,26 @@
 	return age
 }
 
-// localAnswerInterval is the shortest time between two answers on one connection for which no backend was asked.
-const localAnswerInterval = 10 * time.Millisecond
+const (
+	// localAnswerInterval is the time between two answers on one connection for which no backend was asked, on average.
+	localAnswerInterval = 10 * time.Millisecond
+	// localAnswerBurst is how many such answers may follow each other without a pause. A client may send as many requests
+	// at once as maxReadAhead holds, and all of them may have to be refused at once.
+	localAnswerBurst = 200
+)
 
-// PaceLocalAnswer waits before an answer for which no backend was asked if the connection's last such answer was less than
-// localAnswerInterval ago. It must be called by the request's handler.
+// PaceLocalAnswer waits before an answer for which no backend was asked if the connection has had very many of them. It
+// must be called by the request's handler.
 //
 // It prevents one client that sends health checks, or requests that are refused at once, as fast as it can from taking
-// the processor from all others. It delays a client that repeats a refused request at once.
+// the processor from all others.
 func (k *Conn) PaceLocalAnswer() {
-	time.Sleep(localAnswerInterval - time.Since(k.lastLocalAnswer))
-	k.lastLocalAnswer = time.Now()
+	earliest := time.Now().Add(-localAnswerBurst * localAnswerInterval)
+	if k.localAnswerDue.Before(earliest) {
+		k.localAnswerDue = earliest
+	}
+	k.localAnswerDue = k.localAnswerDue.Add(localAnswerInterval)
+	time.Sleep(time.Until(k.localAnswerDue))
 }
 
 // Buffered returns the number of bytes that have been read from a hijacked connection and not been passed on.
