End a body's hold-up only with two empty checks in a row

Cause, traced by the code: the server of the test reads on after 1 s, in the moment of the tenth check. That check found the stream no longer full and the socket empty and took the hold-up for ended; the rest of the body, which the client's system had held, arrived right after it, and its time began there.

Change: a hold-up begins with a check at which the stream is full and bytes stand in the socket, and ends with two in a row at which the socket is empty.

--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -28,12 +28,17 @@
 	ticker   *time.Ticker  // tells when to call check
 	patience time.Duration // how long the caller waits for its answer
 
-	held      bool // bytes stood in the socket at the last check that the server was too slow for
-	arrived   int64
-	movedAt   time.Time // when arrived has changed, or the body was last being read
-	heldSince time.Time // since when that has been so at each check
+	arrived     int64
+	movedAt     time.Time // when arrived has changed, or the body was last being read
+	held        bool      // the server is slower than the caller
+	heldSince   time.Time // the last check before that was so
+	emptyChecks int       // number of checks in a row at which the socket was empty
 }
 
+// emptyChecksToEnd is the number of checks in a row with an empty socket that show that the caller has sent no more. After
+// a single one, bytes may be on their way that had no room before.
+const emptyChecksToEnd = 2
+
 // newArrivalWatch returns a watch whose ticker must be stopped.
 func newArrivalWatch(stream *body.Stream, conn *callers.Conn, patience time.Duration) *arrivalWatch {
 	now := time.Now()
@@ -52,17 +57,33 @@
 	if ok && blocked && w.endInSocket(filled) {
 		return max(w.conn.SinceLastData(), w.heldUp(now)), true
 	}
-	if w.held = ok && blocked && unread > 0; !w.held {
-		w.movedAt, w.heldSince = now, now
+	w.update(now, blocked && ok, filled, unread)
+	if !w.held || !blocked || unread == 0 {
 		return 0, false
 	}
-	if filled+int64(unread) != w.arrived {
-		w.arrived, w.movedAt = filled+int64(unread), now
-	}
 	age = now.Sub(w.waitingSince(now))
 	return age, age >= w.patience
 }
 
+// update records what a check has found: whether the stream is blocked, and how much has been read and stands in the socket.
+func (w *arrivalWatch) update(now time.Time, blocked bool, filled int64, unread int) {
+	if arrived := filled + int64(unread); arrived != w.arrived || !blocked {
+		w.arrived, w.movedAt = arrived, now
+	}
+	if w.emptyChecks++; unread > 0 {
+		w.emptyChecks = 0
+	}
+	switch {
+	case blocked && unread > 0:
+		w.held = true
+	case w.emptyChecks >= emptyChecksToEnd:
+		w.held = false
+	}
+	if !w.held {
+		w.heldSince = now
+	}
+}
+
 // endInSocket reports whether the body's last byte stands in the socket. filled is how much had been read before.
 func (w *arrivalWatch) endInSocket(filled int64) bool {
 	if !w.conn.RequestArrived() {
